--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,293 @@
+// Package wire speaks shale-6a31: it reads batches of events, writes replies and maps the wire's words
+// to those of package choice. Nothing of the wire is known elsewhere, and nothing is decided here.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"swiftcourse/choice"
+)
+
+// Change tells what an event means for the life of its instance.
+type Change uint8
+
+const (
+	Goes  Change = iota // the instance goes on; Event holds what happened
+	Born                // a new instance, with Seed and Site
+	Wiped               // the process died
+)
+
+// Event is one entry of a batch.
+type Event struct {
+	Who    string
+	Change Change
+	Seed   int64
+	Site   choice.Site
+	Event  choice.Event
+}
+
+// Batch is what the simulator sends at one moment.
+type Batch struct {
+	Now    float64 // seconds
+	Events []Event
+}
+
+// Reader reads batches, one a line.
+type Reader struct {
+	in     *bufio.Reader
+	long   []byte
+	parser fastjson.Parser
+	batch  Batch
+	gauges map[string][]string // per instance, in the order they come
+}
+
+// NewReader returns a reader of batches from in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), gauges: map[string][]string{}}
+}
+
+// Next returns the next batch, good until the call after, or io.EOF at the end of input.
+func (r *Reader) Next() (*Batch, error) {
+	line, err := r.line()
+	if err != nil {
+		return nil, err
+	}
+	v, err := r.parser.ParseBytes(line)
+	if err != nil {
+		return nil, fmt.Errorf("batch is not JSON: %w", err)
+	}
+	now, inbox := v.Get("timeMs"), v.Get("inbox")
+	if now == nil || now.Type() != fastjson.TypeNumber || inbox == nil || inbox.Type() != fastjson.TypeArray {
+		return nil, errors.New("batch lacks timeMs or inbox")
+	}
+	r.batch.Now = now.GetFloat64() / 1000
+	r.batch.Events = r.batch.Events[:0]
+	for i, e := range inbox.GetArray() {
+		if e.Type() != fastjson.TypeArray {
+			return nil, fmt.Errorf("event %d is not an array", i)
+		}
+		if err := r.event(e.GetArray()); err != nil {
+			return nil, fmt.Errorf("event %d: %w", i, err)
+		}
+	}
+	return &r.batch, nil
+}
+
+// line returns the next line that is not blank; one that overruns the buffer is put together.
+func (r *Reader) line() ([]byte, error) {
+	for {
+		r.long = r.long[:0]
+		part, err := r.in.ReadSlice('\n')
+		for errors.Is(err, bufio.ErrBufferFull) {
+			r.long = append(r.long, part...)
+			part, err = r.in.ReadSlice('\n')
+		}
+		if len(r.long) > 0 {
+			r.long = append(r.long, part...)
+			part = r.long
+		}
+		for len(part) > 0 && part[len(part)-1] <= ' ' {
+			part = part[:len(part)-1]
+		}
+		if len(part) > 0 && (err == nil || errors.Is(err, io.EOF)) {
+			return part, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+var outcomes = map[string]choice.Outcome{
+	"ok": choice.Finished, "error": choice.Failed, "full": choice.Bounced, "timeout": choice.TimedOut,
+	"connect_failed": choice.Unreachable, "reset": choice.Cut, "cancelled": choice.Stopped,
+	"moot": choice.NeverStarted,
+}
+
+// event appends one entry to the batch. Events of kinds unknown here are passed over.
+func (r *Reader) event(f []*fastjson.Value) error {
+	if text(f, 0) == "" || text(f, 1) == "" {
+		return errors.New("lacks a name or an instance")
+	}
+	e := Event{Who: text(f, 1), Event: choice.Event{ID: text(f, 2)}}
+	switch name := text(f, 0); name {
+	case "BORN":
+		if len(f) < 4 {
+			return errors.New("BORN lacks its settings")
+		}
+		e.Change, e.Seed = Born, f[2].GetInt64()
+		var s settings
+		if err := json.Unmarshal(f[3].MarshalTo(nil), &s); err != nil {
+			return fmt.Errorf("BORN settings: %w", err)
+		}
+		e.Site = s.site()
+		r.gauges[e.Who] = s.FamilyInfo.Gauges
+	case "CRASH_NOW":
+		e.Change = Wiped
+	case "REQ":
+		bits := int(number(f, 3))
+		e.Event.Kind = choice.Read
+		e.Event.Task = choice.Task{Memory: number(f, 4), Age: number(f, 5) / 1000, Hint: number(f, 6) / 1000,
+			Stage: int(number(f, 7)), Marked: text(f, 8) != "", Caller: int(number(f, 9)),
+			Wait: number(f, 10) / 1000, Rank: number(f, 11), Tenant: int(number(f, 12)), Earlier: text(f, 13),
+			Again: bits&2 != 0, Write: bits&4 != 0}
+		if bits&1 == 0 {
+			e.Event.Task.Hint = 0
+		}
+	case "RUN_OVER", "CALL_ENDED":
+		e.Event.Kind = choice.Ended
+		if name == "CALL_ENDED" {
+			e.Event.Kind = choice.CallDone
+		}
+		outcome, ok := outcomes[text(f, 3)]
+		if !ok {
+			outcome = choice.Failed // a word not known yet proves nothing, as an error does
+		}
+		e.Event.Outcome, e.Event.Took = outcome, number(f, 4)/1000
+	case "AT_CALL":
+		e.Event.Kind = choice.Parked
+	case "ABANDONED":
+		e.Event.Kind = choice.Gone
+	case "DRAIN":
+		e.Event.Kind, e.Event.ID, e.Event.Took = choice.Drain, "", number(f, 2)/1000
+	case "DEADLINE_HIT":
+		e.Event.Kind, e.Event.Label, e.Event.ID = choice.Timer, text(f, 2), ""
+		e.Event.Gauges = choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1}
+		r.readGauges(&e, f)
+	default:
+		return nil
+	}
+	r.batch.Events = append(r.batch.Events, e)
+	return nil
+}
+
+func (r *Reader) readGauges(e *Event, f []*fastjson.Value) {
+	if len(f) < 4 || f[3].Type() != fastjson.TypeArray {
+		return
+	}
+	row, g := f[3].GetArray(), &e.Event.Gauges
+	for i, name := range r.gauges[e.Who] {
+		if i >= len(row) || row[i].Type() != fastjson.TypeNumber {
+			continue
+		}
+		switch name {
+		case "cpu_busy":
+			g.Busy = number(row, i)
+		case "runnable":
+			g.Runnable = number(row, i)
+		case "mem_used":
+			g.Memory = number(row, i)
+		case "sockets":
+			g.Conns = number(row, i)
+		}
+	}
+}
+
+// text and number give "" and 0 for what is absent, null or of another type.
+func text(f []*fastjson.Value, i int) string {
+	if i >= len(f) {
+		return ""
+	}
+	return string(f[i].GetStringBytes())
+}
+
+func number(f []*fastjson.Value, i int) float64 {
+	if i >= len(f) {
+		return 0
+	}
+	return f[i].GetFloat64()
+}
+
+// Writer writes replies.
+type Writer struct {
+	out *bufio.Writer
+	buf []byte
+}
+
+// NewWriter returns a writer of replies to out.
+func NewWriter(out io.Writer) *Writer {
+	return &Writer{out: bufio.NewWriterSize(out, 1<<16), buf: []byte(`{"cmds":[`)}
+}
+
+var names = map[choice.ActionKind]string{
+	choice.Start: "BEGIN", choice.TakeOff: "TAKE_OFF", choice.Reject: "BUSY", choice.Abandon: "LOSE",
+	choice.Call: "INVOKE", choice.Skip: "DEGRADE", choice.Keep: "PIN", choice.Forget: "EVICT",
+	choice.Reuse: "REUSE", choice.Health: "STATUS", choice.SetFree: "HINT_OUT", choice.Idle: "REAP_AFTER",
+	choice.SetTimer: "SCHEDULE", choice.Note: "LOG",
+}
+
+// Add adds an instance's actions to the reply.
+func (w *Writer) Add(who string, actions []choice.Action) {
+	for i := range actions {
+		a := &actions[i]
+		w.open(names[a.Kind], who)
+		if a.ID != "" {
+			w.text(a.ID)
+		}
+		switch a.Kind {
+		case choice.Reject:
+			w.millis(a.For)
+			w.flag(a.Flag)
+		case choice.Call, choice.Keep, choice.Idle:
+			w.millis(a.For)
+		case choice.SetTimer:
+			w.millis(a.For)
+			w.text(a.Label)
+		case choice.Note:
+			w.text(a.Label)
+		case choice.Health:
+			w.flag(a.Flag)
+			w.flag(true)
+		case choice.SetFree:
+			w.buf = strconv.AppendFloat(append(w.buf, ','), a.Value, 'f', -1, 64)
+		}
+		w.buf = append(w.buf, ']')
+	}
+}
+
+// Panic tells that the instance's decisions broke.
+func (w *Writer) Panic(who, what string) {
+	w.open("PANIC", who)
+	w.text(what)
+	w.buf = append(w.buf, ']')
+}
+
+// Flush ends the reply and sends it.
+func (w *Writer) Flush() error {
+	w.buf = append(w.buf, "]}\n"...)
+	_, err := w.out.Write(w.buf)
+	w.buf = w.buf[:len(`{"cmds":[`)]
+	if err == nil {
+		err = w.out.Flush()
+	}
+	if err != nil {
+		return fmt.Errorf("writing a reply: %w", err)
+	}
+	return nil
+}
+
+func (w *Writer) open(name, who string) {
+	if w.buf[len(w.buf)-1] == ']' {
+		w.buf = append(w.buf, ',')
+	}
+	w.buf = append(append(append(w.buf, `["`...), name...), '"')
+	w.text(who)
+}
+
+func (w *Writer) text(s string) {
+	quoted, _ := json.Marshal(s) // a string always marshals
+	w.buf = append(append(w.buf, ','), quoted...)
+}
+
+func (w *Writer) millis(seconds float64) {
+	w.buf = strconv.AppendFloat(append(w.buf, ','), seconds*1000, 'f', 3, 64)
+}
+
+func (w *Writer) flag(b bool) { w.buf = strconv.AppendBool(append(w.buf, ','), b) }
