Count the call line in admission; keep calls in hand near a quarter of the share when slow

Cause: tasks of calling stages were admitted by the cores alone, then all stood at the shared dependency, which thrashes long before the told share; at times it fell over.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -149,6 +149,7 @@
 	own     float64 // on or near a core so far, without calls and pauses
 	memory  float64
 	value   float64 // utility, less where its tenant is over its share
+	calls   int     // let out
 	tries   int     // calls that did not come back well
 	notTill float64 // no call before this
 	ran     bool
@@ -159,6 +160,7 @@
 type runs struct {
 	n       int
 	sum     float64
+	calls   int        // that came back well
 	bins    [48]uint16 // by run time, from 1 ms up, three to a doubling
 	offered float64    // utility read
 	timely  float64    // utility finished by the due time
@@ -179,6 +181,7 @@
 	Stage
 	floor   float64 // typical own run: what must be left of a task's wait
 	mean    float64 // mean own run lately
+	calls   float64 // mean calls of a run
 	price   float64 // what a second of run of this stage brings the result
 	log     *ring.Ring[runs]
 	lowest  *ring.Ring[low]
@@ -239,7 +242,7 @@
 	arm                 int
 	armTill, armGain    float64
 	armBusy             bool
-	callCap             float64
+	callCap, callCredit float64
 	callTime, callBest  float64
 	callLog             *ring.Ring[calls]
 	callLow             *ring.Ring[low]
@@ -291,6 +294,9 @@
 	s.callLow = ring.New[low](6, 5, s.now)
 	s.runCap = s.cores
 	s.callCap = 2 * s.cores // a start only: it is learned
+	if s.below == Shared {
+		s.callCap = s.callShare / 2
+	}
 	if s.coldFor > 0 {
 		s.share = math.Max(0.05, s.coldFrom)
 	}
@@ -350,7 +356,7 @@
 		s.step(t, on)
 		// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
 		if t.ran && (e.Outcome == Finished || own > t.stage.floor && was != pausing) {
-			t.stage.learn(s.now, own)
+			t.stage.learn(s.now, own, t.calls-t.tries)
 		}
 		if e.Outcome == Finished && was != answered && s.now <= t.goal {
 			t.stage.log.At(s.now).timely += t.value
@@ -461,10 +467,11 @@
 
 func (s *Server) used() float64 { return s.memory + float64(len(s.keys))*s.keyMemory }
 
-func (st *stage) learn(now, own float64) {
+func (st *stage) learn(now, own float64, calls int) {
 	b := st.log.At(now)
 	b.n++
 	b.sum += own
+	b.calls += calls
 	b.bins[min(max(int(3*math.Log2(math.Max(own, 1e-6)/0.001)), 0), len(b.bins)-1)]++
 }
 
@@ -474,6 +481,7 @@
 	st.log.All(s.now, func(b *runs) {
 		all.n += b.n
 		all.sum += b.sum
+		all.calls += b.calls
 		all.offered += b.offered
 		all.timely += b.timely
 		for i, n := range b.bins {
@@ -483,6 +491,7 @@
 	st.offered, st.timely = all.offered, all.timely
 	if all.n > 0 {
 		st.mean = all.sum / float64(all.n)
+		st.calls = float64(all.calls) / float64(all.n)
 	}
 	if all.n >= 4 { // fewer say little of a median
 		half := all.n / 2
@@ -737,35 +746,44 @@
 		return 0
 	})
 	strain, ahead := s.strain(), 0.0
+	aheadCalls := float64(s.count[atCall]) * s.callTime
 	for i := 0; i < len(line); i++ {
 		t := line[i]
-		run := t.stage.mean * strain
+		run, away := t.stage.mean*strain, t.stage.calls*s.callTime
 		wait := ahead / s.runCap
+		if away > 0 {
+			wait = math.Max(wait, aheadCalls/s.callCap)
+		}
 		ahead += run
-		if wait <= patience*(t.end-s.now-run) || wait == 0 {
+		aheadCalls += away
+		if wait <= patience*(t.end-s.now-run-away) || wait == 0 {
 			continue
 		}
-		worst := i
+		byCalls, worst := away > 0 && wait > (ahead-run)/s.runCap, i
 		for j := 0; j < i; j++ {
-			if s.density(line[j]) < s.density(line[worst]) {
+			if (!byCalls || line[j].stage.calls > 0) && s.density(line[j]) < s.density(line[worst]) {
 				worst = j
 			}
 		}
 		ahead -= line[worst].stage.mean * strain
+		aheadCalls -= line[worst].stage.calls * s.callTime
 		s.step(line[worst], noRoom)
 		line = slices.Delete(line, worst, worst+1)
 		i--
 	}
 }
 
+// density is what a task brings for the share that it takes of the cores and of the calls.
 func (s *Server) density(t *task) float64 {
-	return t.stage.price * t.value / math.Max(t.stage.mean, 1e-3)
+	return t.stage.price * t.value / math.Max(t.stage.mean/s.runCap+t.stage.calls*s.callTime/s.callCap, 1e-4)
 }
 
 // book adds up the calls in hand until now.
 func (s *Server) book() {
 	inHand := float64(s.count[calling] + len(s.lingering))
 	s.callLog.At(s.now).held += inHand * (s.now - s.bookedAt)
+	// Where the cap is not a whole number, what was left unused of it lets one more out now and then.
+	s.callCredit = math.Max(-1, math.Min(1, s.callCredit+(s.callCap-inHand)*(s.now-s.bookedAt)))
 	s.bookedAt = s.now
 }
 
@@ -779,8 +797,8 @@
 	if e.Outcome == Finished {
 		b.n++
 		b.sum += e.Took
-		if float64(s.count[calling]) >= s.callCap-1 {
-			s.callCap += 1 / s.callCap
+		if float64(s.count[calling]) >= s.callCap-1 && !s.slow() {
+			s.callCap += 0.2 / s.callCap
 		}
 		s.step(t, back)
 		return
@@ -789,7 +807,7 @@
 	if e.Outcome == TimedOut {
 		s.lingering = append(s.lingering, s.now+s.callLinger)
 	}
-	s.callCap = math.Max(1, 0.9*s.callCap)
+	s.callCap *= 0.9
 	t.tries++
 	t.notTill = s.now + 0.02*float64(t.tries)*(1+s.chance())
 	s.step(t, callLost)
@@ -814,8 +832,15 @@
 	})
 	s.callBest = lowest.min
 	if s.slow() {
-		s.callCap = math.Max(1, 0.98*s.callCap)
+		s.callCap *= 0.95
+	}
+	least, most := 1.0, math.Inf(1)
+	if s.below == Shared {
+		// A dependency gets sluggish long before it falls: a quarter of the share is let out however
+		// slow it is, and never all of it, as calls of the dead and late news of ended ones count too.
+		least, most = 0.25*s.callShare, 0.8*s.callShare
 	}
+	s.callCap = math.Max(least, math.Min(s.callCap, most))
 }
 
 // slow tells that calls take twice what they lately took at best.
@@ -823,11 +848,12 @@
 
 // callRoom tells whether one more call keeps within the share, and until when it may take at most.
 func (s *Server) callRoom() (bool, float64) {
-	inHand := s.count[calling] + len(s.lingering)
-	if float64(inHand+1) > s.callCap && inHand > 0 || !s.crowdRoom() {
+	inHand := float64(s.count[calling] + len(s.lingering))
+	s.book()
+	if inHand+1 > s.callCap && (inHand >= s.callCap || s.callCredit <= 0) || !s.crowdRoom() {
 		return false, 0
 	}
-	if s.below != Shared || float64(inHand+1) <= s.callShare {
+	if s.below != Shared || inHand+1 <= s.callShare {
 		return true, math.Inf(1)
 	}
 	if inHand > 0 {
@@ -835,7 +861,6 @@
 	}
 	// A share under one call is kept in the mean: one goes when what is left of the window's share
 	// covers a usual call, and no longer than that.
-	s.book()
 	held := 0.0
 	s.callLog.All(s.now, func(b *calls) { held += b.held })
 	left := 0.9*s.callShare*s.callFor - held - s.callLinger
@@ -860,7 +885,8 @@
 		case t.stage.SkipUtility > 0 && s.crowdRoom() &&
 			(!again || t.tries > 2 || late && t.stage.SkipUtility > t.stage.LateUtility):
 			s.step(t, leaveOut)
-		case !again && t.stage.SkipUtility == 0, t.dueAt-s.now <= slush:
+		case !again && t.stage.SkipUtility == 0, t.dueAt-s.now <= slush,
+			late && t.stage.SkipUtility == 0 && (s.slow() || t.stage.LateUtility == 0):
 			s.step(t, due)
 		}
 	}
@@ -934,6 +960,7 @@
 func (s *Server) call(t *task) {
 	atMost := t.notTill
 	t.notTill = 0
+	t.calls++
 	s.act(Action{Kind: Call, ID: t.id, For: math.Min(t.dueAt-s.now-slush, atMost)})
 }
 
