--- a/choice/choice.go
+++ b/choice/choice.go
@@ -249,7 +249,7 @@
 	lingering           []float64
 	bookedAt            float64
 	share, shareTold    float64 // of the usual traffic wanted
-	turnedAway          int
+	unmet               int     // tasks since the last tick that were read or run for nothing
 }
 
 // New makes an instance for a server that starts now.
@@ -616,14 +616,14 @@
 }
 
 // tuneShare says how much of the usual traffic is wanted: less at once when tasks are turned away, more
-// again in small steps.
+// again in small steps. Reading costs too, so tasks read too late to run count like those turned away.
 func (s *Server) tuneShare() {
-	if s.turnedAway > 0 {
+	if s.unmet > 0 {
 		s.share = math.Max(0.05, s.share*0.93)
 	} else {
 		s.share = math.Min(1, s.share+0.02)
 	}
-	s.turnedAway = 0
+	s.unmet = 0
 	if s.killAt < math.Inf(1) {
 		s.share = 0
 	}
@@ -916,10 +916,13 @@
 
 func (s *Server) reuse(t *task) { s.act(Action{Kind: Reuse, ID: t.id}) }
 
-func (s *Server) sendBack(t *task) { s.turnAway(t, 0) }
+func (s *Server) sendBack(t *task) {
+	s.unmet++
+	s.turnAway(t, 0)
+}
 
 func (s *Server) sendAway(t *task) {
-	s.turnedAway++
+	s.unmet++
 	ahead := 0.0
 	for _, o := range s.tasks {
 		if o.state == held {
@@ -944,7 +947,10 @@
 	s.act(Action{Kind: Reject, ID: t.id, For: advice})
 }
 
-func (s *Server) abandon(t *task) { s.act(Action{Kind: Abandon, ID: t.id}) }
+func (s *Server) abandon(t *task) {
+	s.unmet++
+	s.act(Action{Kind: Abandon, ID: t.id})
+}
 
 func (s *Server) abandonRun(t *task) {
 	s.abandon(t)
