Bound on calls to a tier never falls under the cores

Cause: every lost call cut the bound and only a full bound raised it again, so after a few losses gateways with idle cores rejected for want of calls. Told by single servers at 20-50% busy that turned 80% away.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -797,9 +797,6 @@
 	if e.Outcome == Finished {
 		b.n++
 		b.sum += e.Took
-		if float64(s.count[calling]) >= s.callCap-1 && !s.slow() {
-			s.callCap += 0.2 / s.callCap
-		}
 		s.step(t, back)
 		return
 	}
@@ -807,7 +804,6 @@
 	if e.Outcome == TimedOut {
 		s.lingering = append(s.lingering, s.now+s.callLinger)
 	}
-	s.callCap *= 0.9
 	t.tries++
 	t.notTill = s.now + 0.02*float64(t.tries)*(1+s.chance())
 	s.step(t, callLost)
@@ -819,6 +815,7 @@
 	s.callLog.All(s.now, func(b *calls) {
 		all.n += b.n
 		all.sum += b.sum
+		all.lost += b.lost
 	})
 	if all.n >= 4 {
 		s.callTime = all.sum / float64(all.n)
@@ -831,10 +828,14 @@
 		}
 	})
 	s.callBest = lowest.min
-	if s.slow() {
+	// Down in half a second's steps while calls are slow or one in four is lost; up while all is in use.
+	switch {
+	case s.slow() || 3*all.lost > all.n+3:
 		s.callCap *= 0.95
+	case s.count[atCall] > 0:
+		s.callCap *= 1.05
 	}
-	least, most := 1.0, math.Inf(1)
+	least, most := s.cores, 16*s.cores // a tier has its own guard: only a flood is kept from it
 	if s.below == Shared {
 		// A dependency gets sluggish long before it falls: a quarter of the share is let out however
 		// slow it is, and never all of it, as calls of the dead and late news of ended ones count too.
