--- a/choice/choice.go
+++ b/choice/choice.go
@@ -249,6 +249,7 @@
 	lingering           []float64
 	bookedAt            float64
 	share, shareTold    float64 // of the usual traffic wanted
+	lag                 float64 // mean time that tasks lately waited unread
 	unmet               int     // tasks since the last tick that were read or run for nothing
 }
 
@@ -421,6 +422,7 @@
 		t.value *= s.overShare
 	}
 	st.log.At(s.now).offered += t.value
+	s.lag += 0.05 * (in.Age - s.lag)
 	s.byID[t.id] = t
 	s.tasks = append(s.tasks, t)
 	s.count[held]++
@@ -945,7 +947,8 @@
 		s.abandon(t) // another try of it may have run
 		return
 	}
-	s.act(Action{Kind: Reject, ID: t.id, For: advice})
+	s.act(Action{Kind: Reject, ID: t.id, For: advice,
+		Flag: s.lag > 0.25*t.stage.DueTime || s.share < 0.3})
 }
 
 func (s *Server) abandon(t *task) {
