Shorter module; halted work takes the server off the list

When all cores are taken and nothing has got on for four typical runs, health goes bad and hardly any traffic is wanted.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,9 +6,11 @@
 //
 // The mechanism is that of docs/design.md: a caller's remaining wait becomes a fixed due moment; a task
 // with less time left than its stage's learned typical run is rejected unstarted; each call below gets
-// the time that is left less a slush. The rest is what the rules need, and departures listed there.
+// the time that is left less a slush. The rest is what the rules need, and the exceptions listed there.
 
 import (
+	"cmp"
+	"encoding/binary"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -16,10 +18,11 @@
 	"swiftcourse/internal/ring"
 )
 
-type state uint8
+// state is one state, or several in a row of the table and where tasks are counted.
+type state uint16
 
 const (
-	held    state = iota
+	held    state = 1 << iota
 	sharing       // waits for the answer of the task it repeats
 	running
 	pausing // taken off, not confirmed: counts as running
@@ -28,20 +31,21 @@
 	calling  // its call is out
 	answered // has its answer, yet still runs or has still to leave its call
 	over
+	onCore = running | pausing | answered
 )
 
-type input uint8
+type input uint16
 
 const (
-	room     input = iota // judged: it may have a core
-	repeats               // judged: another's answer is its own
-	short                 // judged: less time left than a typical run
-	noRoom                // judged: the load, the memory or a drain forbids it
-	due                   // judged: its due moment is here, or it can earn nothing any more
-	crowded               // judged: too many are on the cores
-	letOut                // judged: its call may go
-	leaveOut              // judged: a poorer answer pays better than the call
-	gone                  // the rest happened
+	room     input = 1 << iota // judged: it may have a core
+	repeats                    // judged: another's answer is its own
+	short                      // judged: less time left than a typical run
+	noRoom                     // judged: the load, the memory or a drain forbids it
+	due                        // judged: its due moment is here, or it can earn nothing any more
+	crowded                    // judged: too many are on the cores
+	letOut                     // judged: its call may go
+	leaveOut                   // judged: a poorer answer pays better than the call
+	gone                       // the rest happened
 	parked
 	back
 	callLost
@@ -56,75 +60,51 @@
 	next state
 	do   func(*Server, *task)
 }{
-	{held, room, running, (*Server).start},
-	{held, repeats, sharing, (*Server).reuse},
-	{held, short, over, (*Server).sendBack},
+	{held | paused, room, running, (*Server).start},
+	{held, repeats, sharing, act(Reuse)},
+	{held, short | due, over, (*Server).sendBack},
 	{held, noRoom, over, (*Server).sendAway},
-	{held, due, over, (*Server).sendBack},
-	{held, gone, over, nil},
-	{sharing, due, over, (*Server).abandon},
-	{sharing, gone, over, nil},
-	{sharing, ended, over, nil},
-	{sharing, stopped, over, (*Server).abandon},
-	{running, parked, atCall, nil},
-	{running, ended, over, nil},
-	{running, stopped, over, (*Server).abandon},
-	{running, due, answered, (*Server).abandonRun},
-	{running, gone, answered, (*Server).takeOff},
+	{held | sharing | paused, gone, over, (*Server).forget},
+	{sharing | paused, due, over, (*Server).abandon},
+	{sharing | running | pausing | answered, ended, over, nil},
+	{sharing | running, stopped, over, (*Server).abandon},
+	{running | pausing, parked, atCall, nil},
+	{running | pausing, due, answered, (*Server).abandonRun},
+	{running | pausing, gone, answered, (*Server).takeOff},
 	{running, crowded, pausing, (*Server).takeOff},
 	{pausing, stopped, paused, nil},
-	{pausing, parked, atCall, nil},
-	{pausing, ended, over, nil},
-	{pausing, due, answered, (*Server).abandonRun},
-	{pausing, gone, answered, (*Server).takeOff},
-	{paused, room, running, (*Server).start},
-	{paused, due, over, (*Server).abandon},
-	{paused, gone, over, nil},
 	{atCall, letOut, calling, (*Server).call},
-	{atCall, leaveOut, running, (*Server).skip},
+	{atCall, leaveOut, running, act(Skip)},
 	{atCall, due, answered, (*Server).abandon},
 	{atCall, gone, answered, nil},
-	{atCall, ended, over, nil},
-	{atCall, stopped, over, (*Server).abandon},
 	{calling, back, running, nil},
 	{calling, callLost, atCall, nil},
-	{calling, due, answered, (*Server).abandon},
-	{calling, gone, answered, nil},
-	{calling, ended, over, nil},
-	{calling, stopped, over, (*Server).abandon},
-	{answered, ended, over, nil},
+	{calling, due, answered, (*Server).abandonCall},
+	{calling, gone, answered, (*Server).linger},
 	{answered, stopped, over, nil},
 }
 
 // step feeds one input to a task's life and keeps the counts that follow from states.
 func (s *Server) step(t *task, on input) {
 	for i := range life {
-		if r := &life[i]; r.in == t.state && r.on == on {
-			if t.state == calling || r.next == calling {
-				s.book()
-			}
-			s.leave(t)
-			t.state = r.next
-			s.count[t.state]++
-			s.memory += s.weight(t)
-			if r.do != nil {
-				r.do(s, t)
-			}
-			return
+		r := &life[i]
+		if r.in&t.state == 0 || r.on&on == 0 {
+			continue
 		}
+		s.bookCalls()
+		if t.state&(running|pausing) != 0 {
+			t.own += s.now - t.since
+		}
+		s.memory -= s.weight(t)
+		t.state, t.since = r.next, s.now
+		s.memory += s.weight(t)
+		if r.do != nil {
+			r.do(s, t)
+		}
+		return
 	}
 }
 
-// leave takes the task out of the counts of its state and books the time spent there.
-func (s *Server) leave(t *task) {
-	s.count[t.state]--
-	s.memory -= s.weight(t)
-	if t.state == running || t.state == pausing {
-		t.own += s.now - t.since
-	}
-	t.since = s.now
-}
-
 // weight is the memory that a task takes in its state.
 func (s *Server) weight(t *task) float64 {
 	switch t.state {
@@ -136,171 +116,150 @@
 	return t.memory * s.runFactor
 }
 
-type task struct {
-	id      string
-	state   state
-	stage   *stage
-	earlier string
-	arrived float64
-	dueAt   float64 // due moment: the caller leaves
-	goal    float64 // due time: the last moment of full utility
-	end     float64 // the last moment at which finishing it pays
-	since   float64 // in this state
-	own     float64 // on or near a core so far, without calls and pauses
-	memory  float64
-	value   float64 // utility, less where its tenant is over its share
-	calls   int     // let out
-	tries   int     // calls that did not come back well
-	notTill float64 // no call before this
-	ran     bool
-	proven  bool // its last call is known not to have run
-}
-
-// runs is a bucket of what runs of one stage took and of how its tasks fared.
-type runs struct {
-	n       int
-	sum     float64
-	calls   int        // that came back well
-	bins    [48]uint16 // by run time, from 1 ms up, three to a doubling
-	offered float64    // utility read
-	timely  float64    // utility finished by the due time
-}
-
-type low struct {
-	seen bool
-	min  float64
-}
-
-func (l *low) take(x float64) {
-	if !l.seen || x < l.min {
-		l.seen, l.min = true, x
+// n counts the tasks in any of the states.
+func (s *Server) n(in state) (n float64) {
+	for _, t := range s.tasks {
+		if t.state&in != 0 {
+			n++
+		}
 	}
+	return n
 }
 
-type stage struct {
-	Stage
-	floor   float64 // typical own run: what must be left of a task's wait
-	mean    float64 // mean own run lately
-	calls   float64 // mean calls of a run
-	price   float64 // what a second of run of this stage brings the result
-	log     *ring.Ring[runs]
-	lowest  *ring.Ring[low]
-	offered float64 // utility read lately, and how much of it was finished in time
-	timely  float64
+type task struct {
+	id                   string
+	state                state
+	stage                *stage
+	arrived, dueAt, goal float64 // goal is the due time, dueAt the due moment, when the caller leaves
+	end                  float64 // the last moment at which finishing it pays
+	since, own           float64 // in this state; on or near a core so far, without calls and pauses
+	memory               float64
+	value                float64 // utility, less where its tenant is over its share
+	calls, tries         int     // calls let out, and those of them that did not come back well
+	notTill              float64 // no call before this
+	ran, repeated        bool
+	proven               bool // its last call is known not to have run
+}
+
+// mayCall tells whether a call of it may go out: one that may have had its effect is not repeated.
+func (t *task) mayCall() bool {
+	return t.tries == 0 || t.proven || t.stage.Effect == Restartable
 }
 
-type tenant struct{ rate, left, at float64 }
+// ends is a bucket of how runs of one stage ended.
+type ends struct {
+	own     ring.Spread
+	calls   int     // that came back well
+	offered float64 // utility read
+	timely  float64 // utility finished by the due time
+}
 
-type keyEntry struct {
-	id    string
-	until float64
+type stage struct {
+	Stage
+	floor  float64 // typical own run: what must be left of a task's wait
+	mean   float64 // mean own run lately
+	calls  float64 // mean calls of a run
+	price  float64 // what one unit of its utility brings the result
+	log    *ring.Ring[ends]
+	lowest ring.Lowest
+	all    ends // of the whole ring, at the last tick
 }
 
-// calls is a bucket of what calls below did.
-type calls struct {
-	n, lost int
-	sum     float64
-	held    float64 // calls in hand, times seconds
+type callEnds struct {
+	took ring.Spread
+	lost int
 }
 
 // Server is one server's instance.
 type Server struct {
-	seed, draws uint32
-	now         float64
-	acts        []Action
-	stages      []stage
-	tenants     []tenant
-	tasks       []*task // in order of arrival here
-	byID        map[string]*task
-	keys        []keyEntry
-	count       [over + 1]int
-	memory      float64
-
-	cores, crowd          float64
-	coldFrom, coldFor     float64 // coldFor is 0 where it was born warm
-	memoryLimit           float64
-	runFactor, keyMemory  float64
-	drainGrace, lateSlack float64
-	overShare             float64
-	below                 Below
-	callShare             float64
-	callFor, callLinger   float64
-	stopping              Stopping
-	free                  Free
-	callers               float64
-	reuseFor              float64
-	tellsWait             bool
-	adviceMax             float64 // 0 where none is forwarded
-	byWork                bool
-	wholeGoal, stageGoal  float64
-
-	born, tickAt, armed float64
-	drainAt, killAt     float64
-	lastEnd             float64 // when work last got on
-	runCap              float64
-	arms                [2]float64 // what each arm of the bandit earned
-	arm                 int
-	armTill, armGain    float64
-	armBusy             bool
-	callCap, callCredit float64
-	callTime, callBest  float64
-	callLog             *ring.Ring[calls]
-	callLow             *ring.Ring[low]
-	lingering           []float64
-	bookedAt            float64
-	share, shareTold    float64 // of the usual traffic wanted
-	lag                 float64 // mean time that tasks lately waited unread
-	unmet               int     // tasks since the last tick that were read or run for nothing
+	// Derived at start.
+	seed                                        uint32
+	cores, crowd, coldFrom, coldFor             float64 // coldFor is 0 where it was born warm
+	memoryLimit, runFactor, keyMemory           float64
+	drainGrace, overShare, reuseFor, adviceMax  float64
+	leastCalls, mostCalls, callMost, callLinger float64
+	wholeGoal, stageGoal, creditFull            float64
+	stopping                                    Stopping
+	free                                        Free
+	tellsWait, byWork                           bool
+
+	now                         float64
+	acts                        []Action
+	draws                       uint32
+	stages                      []stage
+	tenants                     []ring.Allowance
+	tasks                       []*task // in order of reading
+	byID                        map[string]*task
+	keys, lingering             ring.Expiring // entries kept; given-up calls still held below
+	memory                      float64
+	born, tickAt, armed         float64 // armed is when the earliest timer goes off
+	drainAt, killAt             float64
+	lastEnd                     float64 // when work last got on
+	halted                      bool
+	runCap, armTill, armGain    float64
+	arms                        [2]float64 // what each arm of the bandit earned
+	arm                         int
+	armBusy                     bool
+	callCap, callTime, callBest float64
+	callCredit, callBooked      float64 // call-seconds under the cap that were not used
+	callLog                     *ring.Ring[callEnds]
+	callLow                     ring.Lowest
+	share, shareTold            float64 // of the usual traffic wanted
+	lag                         float64 // mean time that tasks lately waited unread
+	unmet                       int     // tasks since the last tick that were read or run for nothing
 }
 
 // New makes an instance for a server that starts now.
 func New(seed int64, site Site) *Server {
 	s := &Server{
-		seed: uint32(seed) ^ uint32(seed>>32), byID: map[string]*task{},
-		cores: math.Max(1, float64(site.Cores)), crowd: math.Max(1, site.Crowd), coldFrom: site.ColdFrom,
-		memoryLimit: site.Memory, runFactor: math.Max(1, site.RunFactor), keyMemory: site.KeyMemory,
-		drainGrace: site.DrainGrace, lateSlack: site.AnswerSlack, overShare: site.OverShare, below: site.Below,
-		callShare: site.CallShare, callFor: math.Max(0.1, site.CallFor), callLinger: site.CallLinger,
-		stopping: site.Stopping, free: site.Free, callers: math.Max(1, float64(site.Callers)),
+		seed: uint32(seed) ^ uint32(seed>>32), byID: map[string]*task{}, cores: max(1, float64(site.Cores)),
+		crowd: max(1, site.Crowd), coldFrom: site.ColdFrom, memoryLimit: site.Memory,
+		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
+		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork,
-		wholeGoal: math.Max(site.WholeGoal, 0.01), stageGoal: site.StageGoal,
+		wholeGoal: max(site.WholeGoal, 0.01), stageGoal: site.StageGoal, callMost: math.Inf(1),
 		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1), share: 1, shareTold: 1,
 	}
+	// Four tasks a core, spread over the callers, is what a full credit lets in.
+	s.creditFull = 4 * s.cores / max(1, float64(site.Callers))
 	if site.Cold {
 		s.coldFor = site.ColdFor
+		s.share = max(0.05, site.ColdFrom)
 	}
 	if site.Advice {
 		s.adviceMax = site.AdviceMax
 	}
+	// A tier has its own guard: only a flood is kept from it. A shared dependency gets sluggish long
+	// before it falls: a quarter of the share is let out however slow it is, and never all of it, as
+	// calls of the dead and those whose end is not known yet count too.
+	s.leastCalls, s.mostCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
+	if site.Below == Shared {
+		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
+		if site.CallShare < 1 { // one call is over the share: it must not last for the whole window
+			s.callMost = max(slush, site.CallShare*site.CallFor-site.CallLinger)
+		}
+	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st})
 	}
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
-		rate := 1.5 * tn.Rate / math.Max(1, float64(site.Servers))
-		s.tenants = append(s.tenants, tenant{rate: rate, left: 2 * rate})
+		rate := 1.5 * tn.Rate / max(1, float64(site.Servers))
+		s.tenants = append(s.tenants, ring.NewAllowance(rate, 2*rate)) // two seconds of it may come at once
 	}
 	return s
 }
 
 // begin sets what needs the time of the first batch.
 func (s *Server) begin() {
-	s.born, s.tickAt, s.lastEnd, s.bookedAt, s.armTill = s.now, s.now, s.now, s.now, s.now+1
+	s.born, s.tickAt, s.lastEnd, s.callBooked, s.armTill = s.now, s.now, s.now, s.now, s.now+1
 	for i := range s.stages {
 		// 8 s of runs: some tens on a busy server, yet a slow-down of a few seconds still shows.
-		s.stages[i].log = ring.New[runs](8, 1, s.now)
-		s.stages[i].lowest = ring.New[low](6, 5, s.now)
+		s.stages[i].log = ring.New[ends](8, 1, s.now)
+		s.stages[i].lowest = ring.NewLowest(6, 5, s.now)
 	}
-	s.callLog = ring.New[calls](10, s.callFor/10, s.now)
-	s.callLow = ring.New[low](6, 5, s.now)
+	s.callLog, s.callLow = ring.New[callEnds](10, 0.5, s.now), ring.NewLowest(6, 5, s.now)
 	s.runCap = s.cores
-	s.callCap = 2 * s.cores // a start only: it is learned
-	if s.below == Shared {
-		s.callCap = s.callShare / 2
-	}
-	if s.coldFor > 0 {
-		s.share = math.Max(0.05, s.coldFrom)
-	}
 	s.act(Action{Kind: Health, Flag: true})
 }
 
@@ -310,13 +269,18 @@
 	if s.callLog == nil {
 		s.begin()
 	}
+	gauges := Gauges{Busy: -1, Runnable: -1}
 	for i := range events {
+		if events[i].Kind == Timer {
+			gauges = events[i].Gauges
+		}
 		s.see(&events[i])
 	}
-	s.keys = slices.DeleteFunc(s.keys, func(k keyEntry) bool { return k.until < now })
-	s.lingering = slices.DeleteFunc(s.lingering, func(until float64) bool { return until <= now })
+	s.bookCalls()
+	s.keys.Drop(now)
+	s.lingering.Drop(now)
 	if now >= s.tickAt-1e-4 {
-		s.tick(Gauges{Busy: -1, Runnable: -1})
+		s.tick(gauges)
 	}
 	s.judgeDue()
 	s.judgeCalls()
@@ -329,63 +293,49 @@
 		}
 		return t.state == over
 	})
-	s.arm1()
+	s.setTimer()
 	return s.acts
 }
 
 func (s *Server) act(a Action) { s.acts = append(s.acts, a) }
 
+// act is the effect that is one plain action.
+func act(kind ActionKind) func(*Server, *task) {
+	return func(s *Server, t *task) { s.act(Action{Kind: kind, ID: t.id}) }
+}
+
 func (s *Server) see(e *Event) {
-	t := s.byID[e.ID]
-	if t == nil && e.Kind != Read && e.Kind != Timer && e.Kind != Drain {
-		return
-	}
 	switch e.Kind {
 	case Read:
 		s.read(e)
-	case Ended:
-		s.lastEnd = s.now
-		on := ended
-		if e.Outcome == Stopped || e.Outcome == NeverStarted {
-			on = stopped
-		}
-		own := t.own
-		if t.state == running || t.state == pausing || (t.state == answered && t.tries == 0) {
-			own = t.own + s.now - t.since
-		}
-		was := t.state
-		s.step(t, on)
-		// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
-		if t.ran && (e.Outcome == Finished || own > t.stage.floor && was != pausing) {
-			t.stage.learn(s.now, own, t.calls-t.tries)
-		}
-		if e.Outcome == Finished && was != answered && s.now <= t.goal {
-			t.stage.log.At(s.now).timely += t.value
-			s.armGain += t.value
-		}
-	case Parked:
-		s.lastEnd = s.now
-		s.step(t, parked)
-	case CallDone:
-		s.callDone(t, e)
-	case Gone:
-		if t.state == calling {
-			s.lingering = append(s.lingering, s.now+s.callLinger)
-		}
-		s.step(t, gone)
+		return
 	case Drain:
 		s.drainAt, s.killAt = s.now, s.now+e.Took
 		s.act(Action{Kind: Health, Flag: false})
 		for _, t := range s.tasks {
-			t.dueAt = math.Min(t.dueAt, s.lastAnswer())
+			t.dueAt = min(t.dueAt, s.lastAnswer())
 		}
+		return
 	case Timer:
 		if s.now >= s.armed-1e-4 {
 			s.armed = math.Inf(1)
 		}
-		if s.now >= s.tickAt-1e-4 {
-			s.tick(e.Gauges)
-		}
+		return
+	}
+	t := s.byID[e.ID]
+	if t == nil {
+		return
+	}
+	switch e.Kind {
+	case Ended:
+		s.runEnded(t, e)
+	case Parked:
+		s.lastEnd = s.now
+		s.step(t, parked)
+	case CallDone:
+		s.callDone(t, e)
+	case Gone:
+		s.step(t, gone)
 	}
 }
 
@@ -397,19 +347,14 @@
 func (s *Server) read(e *Event) {
 	in := &e.Task
 	st := &s.stages[min(max(in.Stage, 0), len(s.stages)-1)]
-	t := &task{id: e.ID, stage: st, earlier: in.Earlier, arrived: s.now - in.Age, since: s.now,
-		memory: in.Memory, value: st.Utility}
-	limit := t.arrived + st.TimeLimit
-	switch {
-	case in.Wait > 0: // an honest wait never passes the time limit of all tries together
-		t.dueAt = math.Min(s.now+in.Wait, limit)
-	case s.tellsWait:
-		t.dueAt = s.now
-	default:
-		t.dueAt = limit
-	}
-	t.dueAt = math.Min(math.Max(t.dueAt, s.now), s.lastAnswer())
-	t.goal = math.Min(t.arrived+math.Min(st.DueTime+st.DueStretch*in.Hint, st.TimeLimit), t.dueAt)
+	t := &task{id: e.ID, stage: st, arrived: s.now - in.Age, since: s.now, memory: in.Memory,
+		value: st.Utility, state: held}
+	t.dueAt = t.arrived + st.TimeLimit
+	if in.Wait > 0 || s.tellsWait { // an honest wait never passes the time limit of all tries together
+		t.dueAt = min(s.now+in.Wait, t.dueAt)
+	}
+	t.dueAt = min(max(t.dueAt, s.now), s.lastAnswer())
+	t.goal = min(t.arrived+min(st.DueTime+st.DueStretch*in.Hint, st.TimeLimit), t.dueAt)
 	t.end = t.goal
 	// Exception to the due moment: an answer after the due time that earns less than half blocks better work.
 	if st.LateUtility >= 0.5 {
@@ -418,146 +363,132 @@
 	if s.byWork && in.Hint > 0 {
 		t.value *= in.Hint
 	}
-	if in.Tenant < len(s.tenants) && in.Tenant >= 0 && !s.tenants[in.Tenant].take(s.now) {
+	if in.Tenant >= 0 && in.Tenant < len(s.tenants) && !s.tenants[in.Tenant].Take(s.now) {
 		t.value *= s.overShare
 	}
 	st.log.At(s.now).offered += t.value
 	s.lag += 0.05 * (in.Age - s.lag)
 	s.byID[t.id] = t
 	s.tasks = append(s.tasks, t)
-	s.count[held]++
 	s.memory += t.memory
-	repeat := t.earlier != "" && (st.Effect == Fingerprinted || s.reuseFor > 0 && !in.Write)
+	shares := s.reuseFor > 0 && st.Effect == Restartable && !in.Write
+	t.repeated = in.Earlier != "" && st.Effect == Fingerprinted
 	switch {
-	case repeat && s.now < t.dueAt:
-		s.step(t, repeats)
-	case repeat || s.now >= t.dueAt:
+	case s.now >= t.dueAt:
 		s.step(t, due)
-	case t.arrived > s.drainAt+s.drainGrace, s.used()+t.memory > 0.95*s.memoryLimit:
+	case in.Earlier != "" && (t.repeated || shares):
+		s.step(t, repeats)
+	case t.arrived > s.drainAt+s.drainGrace, s.used() > 0.95*s.memoryLimit:
 		s.step(t, noRoom)
 	case st.Effect == Fingerprinted:
 		// Without its entry a repeat would bear no mark and run too: no entry, no run.
 		if s.used()+s.keyMemory > 0.9*s.memoryLimit {
 			s.step(t, noRoom)
-			break
-		}
-		s.keep(t, st.Window)
-	case s.reuseFor > 0 && in.Marked && !in.Write && st.Effect == Restartable:
-		if s.used()+s.keyMemory < 0.5*s.memoryLimit { // only a saving: it takes no memory that tasks need
-			s.keep(t, t.dueAt-s.now+s.reuseFor)
+		} else {
+			s.keep(t, st.Window)
 		}
+	case shares && in.Marked && s.used()+s.keyMemory < 0.5*s.memoryLimit:
+		s.keep(t, t.dueAt-s.now+s.reuseFor) // only a saving: it takes no memory that tasks need
 	}
 }
 
-// take tells whether one more task is within the tenant's share.
-func (tn *tenant) take(now float64) bool {
-	if tn.at > 0 {
-		tn.left = math.Min(2*tn.rate, tn.left+(now-tn.at)*tn.rate)
-	}
-	tn.at = now
-	if tn.left < 1 {
-		return false
-	}
-	tn.left--
-	return true
-}
-
 func (s *Server) keep(t *task, lasts float64) {
 	s.act(Action{Kind: Keep, ID: t.id, For: lasts})
-	s.keys = append(s.keys, keyEntry{t.id, s.now + lasts + 0.01})
+	s.keys.Add(t.id, s.now+lasts+0.01)
 }
 
 func (s *Server) used() float64 { return s.memory + float64(len(s.keys))*s.keyMemory }
 
-func (st *stage) learn(now, own float64, calls int) {
-	b := st.log.At(now)
-	b.n++
-	b.sum += own
-	b.calls += calls
-	b.bins[min(max(int(3*math.Log2(math.Max(own, 1e-6)/0.001)), 0), len(b.bins)-1)]++
-}
-
-// refresh works out a stage's floor, mean and price anew.
-func (s *Server) refresh(st *stage, halted bool) {
-	var all runs
-	st.log.All(s.now, func(b *runs) {
-		all.n += b.n
-		all.sum += b.sum
-		all.calls += b.calls
-		all.offered += b.offered
-		all.timely += b.timely
-		for i, n := range b.bins {
-			all.bins[i] += n
-		}
+func (s *Server) runEnded(t *task, e *Event) {
+	s.lastEnd = s.now
+	was, own := t.state, t.own
+	if was&(running|answered) != 0 {
+		own += s.now - t.since
+	}
+	if e.Outcome == Stopped || e.Outcome == NeverStarted {
+		s.step(t, stopped)
+	} else {
+		s.step(t, ended)
+	}
+	b := t.stage.log.At(s.now)
+	// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
+	if t.ran && was != pausing && (e.Outcome == Finished || own > t.stage.floor) {
+		b.own.Add(own)
+		b.calls += t.calls - t.tries
+	}
+	if e.Outcome == Finished && was != answered && s.now <= t.goal {
+		b.timely += t.value
+		s.armGain += t.value
+	}
+}
+
+// refresh works out a stage's floor and means anew.
+func (s *Server) refresh(st *stage) {
+	st.all = ends{}
+	st.log.All(s.now, func(b *ends) {
+		st.all.own.Merge(&b.own)
+		st.all.calls += b.calls
+		st.all.offered += b.offered
+		st.all.timely += b.timely
 	})
-	st.offered, st.timely = all.offered, all.timely
-	if all.n > 0 {
-		st.mean = all.sum / float64(all.n)
-		st.calls = float64(all.calls) / float64(all.n)
-	}
-	if all.n >= 4 { // fewer say little of a median
-		half := all.n / 2
-		for i, n := range all.bins {
-			if half -= int(n); half < 0 {
-				st.floor = 0.001 * math.Exp2((float64(i)+0.5)/3)
-				break
-			}
-		}
-		st.lowest.At(s.now).take(st.floor)
-	} else if !halted {
+	if n := st.all.own.N; n > 0 {
+		st.mean, st.calls = st.all.own.Sum/float64(n), float64(st.all.calls)/float64(n)
+	}
+	if st.all.own.N >= 4 { // fewer say little of a median
+		st.floor = st.all.own.Median()
+		st.lowest.Take(s.now, st.floor)
+	} else if !s.halted {
 		// Few ends: back towards the lowest of 30 s, in about 2 s. Not while work is halted: there
 		// are no ends then because none can end, and a lower floor would let in what cannot either.
-		lowest := low{}
-		st.lowest.All(s.now, func(b *low) {
-			if b.seen {
-				lowest.take(b.min)
-			}
-		})
-		st.floor += 0.05 * (math.Min(lowest.min, st.floor) - st.floor)
+		st.floor += 0.05 * min(st.lowest.Min(s.now)-st.floor, 0)
 	}
-	st.floor = math.Min(st.floor, st.TimeLimit/2)
+	st.floor = min(st.floor, st.TimeLimit/2)
 }
 
-func (s *Server) onCore() int { return s.count[running] + s.count[pausing] + s.count[answered] }
-
 // crowdLimit is what the cores survive, cold or warm: a ceiling. A fifth is kept free.
 func (s *Server) crowdLimit() float64 {
 	speed := 1.0
 	if age := s.now - s.born; age < s.coldFor {
 		speed = s.coldFrom + (1-s.coldFrom)*age/s.coldFor
 	}
-	return math.Max(1, 0.8*s.cores*(1+(s.crowd-1)*speed))
+	return max(1, 0.8*s.cores*(1+(s.crowd-1)*speed))
 }
 
 // crowdRoom tells whether one more may come to the cores, should all calls return at once.
 func (s *Server) crowdRoom() bool {
-	return float64(s.onCore()+s.count[calling]+1) <= s.crowdLimit()
+	return s.n(onCore|calling)+1 <= s.crowdLimit()
 }
 
 // strain is how far the runs in hand have outrun the learned mean: over 1 when work slows or halts,
 // before any end has told so.
 func (s *Server) strain() float64 {
-	age, n, mean := 0.0, 0, 0.0
+	age, mean := 0.0, 0.0
 	for _, t := range s.tasks {
 		if t.state == running {
 			age += t.own + s.now - t.since
 			mean += t.stage.mean
-			n++
 		}
 	}
-	if n == 0 || mean == 0 {
+	if mean == 0 {
 		return 1
 	}
-	return math.Max(1, age/(2*mean))
+	return max(1, age/(2*mean)) // runs in hand are on average about as old as the mean
 }
 
-const tickEvery = 0.1 // a tenth of the shortest memory that matters (1 s); its cost is not felt
-
 func (s *Server) tick(g Gauges) {
-	s.tickAt = s.now + tickEvery
-	halted := s.onCore() > 0 && s.now-s.lastEnd > 1
+	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
+	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
+	typical := 0.25
 	for i := range s.stages {
-		s.refresh(&s.stages[i], halted)
+		typical = max(typical, s.stages[i].mean)
+	}
+	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*typical
+	if halted != s.halted && s.killAt > s.now+1e6 {
+		s.act(Action{Kind: Health, Flag: !halted})
+	}
+	s.halted = halted
+	for i := range s.stages {
+		s.refresh(&s.stages[i])
 	}
 	s.priceStages()
 	s.learnCalls()
@@ -565,23 +496,22 @@
 	s.tuneShare()
 }
 
-// priceStages tells what one second of each stage's run brings the result: its part of the whole and,
+// priceStages tells what one unit of each stage's utility brings the result: its part of the whole and,
 // for the stage that fares worst, of that part of the goal.
 func (s *Server) priceStages() {
 	total, worst := 0.0, -1
 	for i := range s.stages {
-		st := &s.stages[i]
-		total += st.offered
-		if st.offered > 0 && (worst < 0 ||
-			st.timely*s.stages[worst].offered < s.stages[worst].timely*st.offered) {
+		all := &s.stages[i].all
+		total += all.offered
+		if all.offered > 0 && (worst < 0 ||
+			all.timely*s.stages[worst].all.offered < s.stages[worst].all.timely*all.offered) {
 			worst = i
 		}
 	}
 	for i := range s.stages {
-		st := &s.stages[i]
-		st.price = s.wholeGoal / math.Max(total, 1e-9)
+		s.stages[i].price = s.wholeGoal / max(total, 1e-9)
 		if i == worst {
-			st.price += s.stageGoal / st.offered
+			s.stages[i].price += s.stageGoal / s.stages[i].all.offered
 		}
 	}
 }
@@ -589,11 +519,11 @@
 // tuneRunCap climbs fast while cores are free and work is held. How many may crowd each core beyond
 // that is what the two arms try: one a core, or half as many again.
 func (s *Server) tuneRunCap(g Gauges) {
-	waiting := s.count[held] + s.count[paused]
-	s.armBusy = s.armBusy || waiting > 0
+	waiting := s.n(held|paused) > 0
+	s.armBusy = s.armBusy || waiting
 	if s.now >= s.armTill {
 		if s.armBusy {
-			s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm])
+			s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm]) // the last three or so tell
 			s.arm = 0
 			if s.arms[1] > s.arms[0] {
 				s.arm = 1
@@ -604,47 +534,44 @@
 		}
 		s.armTill, s.armGain, s.armBusy = s.now+1, 0, false
 	}
-	aim := s.cores * (1 + 0.5*float64(s.arm))
 	switch {
-	case g.Runnable >= 0 && g.Runnable < s.cores && waiting > 0:
+	case g.Runnable >= 0 && g.Runnable < s.cores && waiting:
 		s.runCap += s.cores - g.Runnable
-	case g.Runnable < 0 && g.Busy >= 0 && g.Busy < 0.95 && waiting > 0:
+	case g.Runnable < 0 && g.Busy >= 0 && g.Busy < 0.95 && waiting:
 		s.runCap++
-	case g.Runnable > aim:
+	case g.Runnable > s.cores*(1+0.5*float64(s.arm)):
 		s.runCap--
 	}
-	live := float64(len(s.tasks))
-	s.runCap = math.Max(s.cores, math.Min(s.runCap, math.Min(live, s.crowdLimit())))
+	s.runCap = max(s.cores, min(s.runCap, float64(len(s.tasks)), s.crowdLimit()))
 }
 
 // tuneShare says how much of the usual traffic is wanted: less at once when tasks are turned away, more
 // again in small steps. Reading costs too, so tasks read too late to run count like those turned away.
 func (s *Server) tuneShare() {
+	s.share = min(1, s.share+0.02)
 	if s.unmet > 0 {
-		s.share = math.Max(0.05, s.share*0.93)
-	} else {
-		s.share = math.Min(1, s.share+0.02)
+		s.share = max(0.05, s.share*0.93)
+	}
+	if s.halted {
+		s.share = 0.05
 	}
-	s.unmet = 0
 	if s.killAt < math.Inf(1) {
 		s.share = 0
 	}
-	if s.free == NoFree || math.Abs(s.share-s.shareTold) < 0.02 && s.share > 0 && s.share < 1 {
-		return
-	}
-	if s.share == s.shareTold {
+	s.unmet = 0
+	edge := (s.share == 0 || s.share == 1) && s.share != s.shareTold
+	if s.free == NoFree || math.Abs(s.share-s.shareTold) < 0.02 && !edge {
 		return
 	}
 	s.shareTold = s.share
 	value := s.share
-	switch s.free {
-	case Level:
+	switch {
+	case s.free == Level:
 		value = 1 - s.share
-	case Credit:
-		value = s.share * 4 * s.cores / s.callers
-		if s.share == 1 {
-			value = 1e6
-		}
+	case s.free == Credit && s.share < 1:
+		value = s.share * s.creditFull
+	case s.free == Credit:
+		value = 1e6
 	}
 	s.act(Action{Kind: SetFree, Value: value})
 }
@@ -652,22 +579,16 @@
 // chance is a draw from 0 to under 1.
 func (s *Server) chance() float64 {
 	s.draws++
-	d, c := s.draws, s.seed
-	sum := crc32.ChecksumIEEE([]byte{byte(c), byte(c >> 8), byte(c >> 16), byte(c >> 24),
-		byte(d), byte(d >> 8), byte(d >> 16), byte(d >> 24)})
-	return float64(sum) / (1 << 32)
+	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, s.seed), s.draws)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 }
 
 // judgeDue gives up what is due, what can earn nothing, and what is short of time.
 func (s *Server) judgeDue() {
 	for _, t := range s.tasks {
-		worthless := t.stage.LateUtility == 0 && s.now > t.goal
+		vain := t.stage.LateUtility == 0 && s.now > t.goal
 		switch {
-		case s.now >= t.dueAt-1e-3,
-			worthless && (s.stopping != NoStop || t.state == atCall || t.state == paused):
-			if t.state == calling {
-				s.lingering = append(s.lingering, s.now+s.callLinger)
-			}
+		case s.now >= t.dueAt-1e-3, vain && (s.stopping != NoStop || t.state == atCall || t.state == paused):
 			s.step(t, due)
 		case t.end-s.now < t.stage.floor:
 			s.step(t, short)
@@ -675,22 +596,24 @@
 	}
 }
 
-// first returns the task in one of the states for which less holds against all others that pass ok.
-func (s *Server) first(ok func(*task) bool, less func(a, b *task) bool) *task {
+// first returns the task that passes ok and comes before all others that do.
+func (s *Server) first(ok func(*task) bool, order func(a, b *task) int) *task {
 	var best *task
 	for _, t := range s.tasks {
-		if ok(t) && (best == nil || less(t, best)) {
+		if ok(t) && (best == nil || order(t, best) < 0) {
 			best = t
 		}
 	}
 	return best
 }
 
-func byGoal(a, b *task) bool { return a.goal < b.goal }
+func byGoal(a, b *task) int { return cmp.Compare(a.goal, b.goal) }
+
+func byUtility(a, b *task) int { return cmp.Or(cmp.Compare(b.value, a.value), byGoal(a, b)) }
 
 // judgeRoom starts held tasks by due time while the cap, the crowd and the memory allow.
 func (s *Server) judgeRoom() {
-	for float64(s.onCore()) < s.runCap && s.crowdRoom() {
+	for s.n(onCore) < s.runCap && s.crowdRoom() {
 		t := s.first(s.startable, byGoal)
 		if t == nil {
 			return
@@ -700,68 +623,51 @@
 }
 
 func (s *Server) startable(t *task) bool {
-	if t.state == paused {
-		return true
-	}
-	if t.state != held || t.arrived > s.drainAt+s.drainGrace {
-		return false
-	}
-	// Calls that wait to be let out are work begun in vain: no more of their kind while many wait.
-	if t.stage.Calls && s.count[atCall] >= max(2, int(s.callCap)) {
-		return false
+	switch {
+	case t.state != held:
+		return t.state == paused
+	case t.stage.Calls && s.n(atCall) >= max(2, s.callCap):
+		return false // work begun in vain: no more of their kind while many wait to be let out
 	}
 	return s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
 }
 
 // judgeCrowd takes the latest due off the cores where calls have come back all at once.
 func (s *Server) judgeCrowd() {
-	for s.stopping == Pause && float64(s.count[running]) > 2*s.runCap {
-		t := s.first(func(t *task) bool { return t.state == running },
-			func(a, b *task) bool { return a.goal > b.goal })
-		s.step(t, crowded)
+	for s.stopping == Pause && s.n(running) > 2*s.runCap {
+		s.step(s.first(func(t *task) bool { return t.state == running },
+			func(a, b *task) int { return byGoal(b, a) }), crowded)
 	}
 }
 
-// patience is the part of a held task's time to spare that its expected wait may take. Runs vary, so
-// more would start tasks that end late.
-const patience = 0.6
-
-// judgeHold goes through the hold by due time and turns away what the cores can't reach in time: of all
-// up to the one that would be late, the one that brings least for its run.
+// judgeHold goes through the hold by due time and turns away what the cores, or the calls, can't reach
+// in time: of all up to the one that would be late, the one that brings least for what it takes.
 func (s *Server) judgeHold() {
-	if s.count[held] == 0 {
-		return
-	}
-	line := make([]*task, 0, s.count[held])
+	var line []*task
 	for _, t := range s.tasks {
 		if t.state == held {
 			line = append(line, t)
 		}
 	}
-	slices.SortStableFunc(line, func(a, b *task) int {
-		switch {
-		case a.goal < b.goal:
-			return -1
-		case a.goal > b.goal:
-			return 1
-		}
-		return 0
-	})
-	strain, ahead := s.strain(), 0.0
-	aheadCalls := float64(s.count[atCall]) * s.callTime
+	if line == nil {
+		return
+	}
+	slices.SortStableFunc(line, byGoal)
+	strain, ahead, aheadCalls := s.strain(), 0.0, s.n(atCall)*s.callTime
 	for i := 0; i < len(line); i++ {
 		t := line[i]
 		run, away := t.stage.mean*strain, t.stage.calls*s.callTime
-		wait := ahead / s.runCap
-		if away > 0 {
-			wait = math.Max(wait, aheadCalls/s.callCap)
+		wait, byCalls := ahead/s.runCap, away > 0 && aheadCalls/s.callCap > ahead/s.runCap
+		if byCalls {
+			wait = aheadCalls / s.callCap
 		}
 		ahead += run
 		aheadCalls += away
-		if wait <= patience*(t.end-s.now-run-away) || wait == 0 {
+		// Runs vary: a wait that took more than 0.6 of the time to spare would start tasks that end late.
+		if wait == 0 || wait <= 0.6*(t.end-s.now-run-away) {
 			continue
 		}
-		byCalls, worst := away > 0 && wait > (ahead-run)/s.runCap, i
+		worst := i
 		for j := 0; j < i; j++ {
 			if (!byCalls || line[j].stage.calls > 0) && s.density(line[j]) < s.density(line[worst]) {
 				worst = j
@@ -777,16 +683,19 @@
 
 // density is what a task brings for the share that it takes of the cores and of the calls.
 func (s *Server) density(t *task) float64 {
-	return t.stage.price * t.value / math.Max(t.stage.mean/s.runCap+t.stage.calls*s.callTime/s.callCap, 1e-4)
+	takes := t.stage.mean/s.runCap + t.stage.calls*s.callTime/s.callCap
+	return t.stage.price * t.value / max(takes, 1e-4)
 }
 
-// book adds up the calls in hand until now.
-func (s *Server) book() {
-	inHand := float64(s.count[calling] + len(s.lingering))
-	s.callLog.At(s.now).held += inHand * (s.now - s.bookedAt)
-	// Where the cap is not a whole number, what was left unused of it lets one more out now and then.
-	s.callCredit = math.Max(-1, math.Min(1, s.callCredit+(s.callCap-inHand)*(s.now-s.bookedAt)))
-	s.bookedAt = s.now
+// out counts the calls in hand, those included that were given up but may still be held below.
+func (s *Server) out() float64 { return s.n(calling) + float64(len(s.lingering)) }
+
+// bookCalls keeps the credit: where the cap is not a whole number, what was left unused of it lets one
+// more out now and then.
+func (s *Server) bookCalls() {
+	unused := s.callCap - s.out()
+	s.callCredit = min(s.callCap, 1, s.callCredit+unused*(s.now-s.callBooked))
+	s.callBooked = s.now
 }
 
 func (s *Server) callDone(t *task, e *Event) {
@@ -794,118 +703,80 @@
 	if t.state != calling {
 		return
 	}
-	t.proven = e.Outcome == Bounced || e.Outcome == Unreachable
 	b := s.callLog.At(s.now)
 	if e.Outcome == Finished {
-		b.n++
-		b.sum += e.Took
+		b.took.Add(e.Took)
 		s.step(t, back)
 		return
 	}
 	b.lost++
 	if e.Outcome == TimedOut {
-		s.lingering = append(s.lingering, s.now+s.callLinger)
+		s.linger(t)
 	}
+	t.proven = e.Outcome == Bounced || e.Outcome == Unreachable
 	t.tries++
-	t.notTill = s.now + 0.02*float64(t.tries)*(1+s.chance())
+	t.notTill = s.now + 0.02*float64(t.tries)*(1+s.chance()) // a short breath, not in step with others
 	s.step(t, callLost)
 }
 
+// learnCalls learns how long calls take and how many may be out.
 func (s *Server) learnCalls() {
-	s.book()
-	var all calls
-	s.callLog.All(s.now, func(b *calls) {
-		all.n += b.n
-		all.sum += b.sum
+	var all callEnds
+	s.callLog.All(s.now, func(b *callEnds) {
+		all.took.Merge(&b.took)
 		all.lost += b.lost
 	})
-	if all.n >= 4 {
-		s.callTime = all.sum / float64(all.n)
-		s.callLow.At(s.now).take(s.callTime)
-	}
-	lowest := low{}
-	s.callLow.All(s.now, func(b *low) {
-		if b.seen {
-			lowest.take(b.min)
-		}
-	})
-	s.callBest = lowest.min
-	// Down in half a second's steps while calls are slow or one in four is lost; up while all is in use.
+	if all.took.N >= 4 {
+		s.callTime = all.took.Sum / float64(all.took.N)
+		s.callLow.Take(s.now, s.callTime)
+	}
+	s.callBest = s.callLow.Min(s.now)
+	// Halved in 1.4 s while calls are slow or one in four is lost; doubled as fast while all are in use.
 	switch {
-	case s.slow() || 3*all.lost > all.n+3:
+	case s.slow() || 3*all.lost > all.took.N+3:
 		s.callCap *= 0.95
-	case s.count[atCall] > 0:
+	case s.n(atCall) > 0:
 		s.callCap *= 1.05
 	}
-	least, most := s.cores, 16*s.cores // a tier has its own guard: only a flood is kept from it
-	if s.below == Shared {
-		// A dependency gets sluggish long before it falls: a quarter of the share is let out however
-		// slow it is, and never all of it, as calls of the dead and late news of ended ones count too.
-		least, most = 0.25*s.callShare, 0.8*s.callShare
-	}
-	s.callCap = math.Max(least, math.Min(s.callCap, most))
+	s.callCap = max(s.leastCalls, min(s.callCap, s.mostCalls))
 }
 
 // slow tells that calls take twice what they lately took at best.
 func (s *Server) slow() bool { return s.callTime > 2*s.callBest }
 
-// callRoom tells whether one more call keeps within the share, and until when it may take at most.
-func (s *Server) callRoom() (bool, float64) {
-	inHand := float64(s.count[calling] + len(s.lingering))
-	s.book()
-	if inHand+1 > s.callCap && (inHand >= s.callCap || s.callCredit <= 0) || !s.crowdRoom() {
-		return false, 0
-	}
-	if s.below != Shared || inHand+1 <= s.callShare {
-		return true, math.Inf(1)
-	}
-	if inHand > 0 {
-		return false, 0
-	}
-	// A share under one call is kept in the mean: one goes when what is left of the window's share
-	// covers a usual call, and no longer than that.
-	held := 0.0
-	s.callLog.All(s.now, func(b *calls) { held += b.held })
-	left := 0.9*s.callShare*s.callFor - held - s.callLinger
-	return left > s.callTime && left > 0.01, left
-}
-
 const slush = 0.01 // the design's upper value: answers still have to be written and sent
 
 // judgeCalls lets calls out by due time, or by utility when they have turned slow.
 func (s *Server) judgeCalls() {
-	less := byGoal
-	if s.slow() {
-		less = func(a, b *task) bool { return a.value > b.value || a.value == b.value && a.goal < b.goal }
-	}
 	for _, t := range s.tasks {
 		if t.state != atCall {
 			continue
 		}
 		late := s.now+s.callTime/2 > t.end
-		again := t.tries == 0 || t.proven || t.stage.Effect == Restartable
+		poorer := t.stage.SkipUtility
 		switch {
-		case t.stage.SkipUtility > 0 && s.crowdRoom() &&
-			(!again || t.tries > 2 || late && t.stage.SkipUtility > t.stage.LateUtility):
+		case poorer > 0 && s.crowdRoom() &&
+			(!t.mayCall() || t.tries > 2 || late && poorer > t.stage.LateUtility):
 			s.step(t, leaveOut)
-		case !again && t.stage.SkipUtility == 0, t.dueAt-s.now <= slush,
-			late && t.stage.SkipUtility == 0 && (s.slow() || t.stage.LateUtility == 0):
+		case poorer == 0 && (!t.mayCall() || late && (s.slow() || t.stage.LateUtility == 0)),
+			t.dueAt-s.now <= slush:
 			s.step(t, due)
 		}
 	}
-	for {
-		ok, atMost := s.callRoom()
-		if !ok {
+	order := byGoal
+	if s.slow() {
+		order = byUtility
+	}
+	for s.crowdRoom() {
+		if out := s.out(); out >= s.callCap || out+1 > s.callCap && s.callCredit <= 0 {
 			return
 		}
 		t := s.first(func(t *task) bool {
-			return t.state == atCall && t.notTill <= s.now &&
-				(t.tries == 0 || t.proven || t.stage.Effect == Restartable)
-		}, less)
+			return t.state == atCall && t.notTill <= s.now && t.mayCall()
+		}, order)
 		if t == nil {
 			return
 		}
-		t.notTill = atMost
 		s.step(t, letOut)
 	}
 }
@@ -917,40 +788,39 @@
 	s.act(Action{Kind: Start, ID: t.id})
 }
 
-func (s *Server) reuse(t *task) { s.act(Action{Kind: Reuse, ID: t.id}) }
-
-func (s *Server) sendBack(t *task) {
-	s.unmet++
-	s.turnAway(t, 0)
-}
+func (s *Server) sendBack(t *task) { s.turnAway(t, 0) }
 
+// sendAway says when to come back: when the hold as it stands has been run.
 func (s *Server) sendAway(t *task) {
-	s.unmet++
 	ahead := 0.0
 	for _, o := range s.tasks {
 		if o.state == held {
 			ahead += o.stage.mean
 		}
 	}
-	s.turnAway(t, math.Min(s.adviceMax, math.Max(0.1, ahead/s.runCap)))
+	s.turnAway(t, min(s.adviceMax, max(0.1, ahead/s.runCap)))
 }
 
-// turnAway rejects a task that never ran and gives its entry in the table back.
+// turnAway rejects a task that never ran. It asks not to try elsewhere while tasks wait unread for long
+// or hardly any traffic is wanted: then the others fare alike, and each further read takes from runs.
 func (s *Server) turnAway(t *task, advice float64) {
-	s.keys = slices.DeleteFunc(s.keys, func(k keyEntry) bool {
-		if k.id == t.id {
-			s.act(Action{Kind: Forget, ID: t.id})
-		}
-		return k.id == t.id
-	})
-	if t.earlier != "" && t.stage.Effect == Fingerprinted {
-		s.abandon(t) // another try of it may have run
+	if t.repeated { // another try of it may have run
+		s.abandon(t)
 		return
 	}
+	s.unmet++
+	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
 		Flag: s.lag > 0.25*t.stage.DueTime || s.share < 0.3})
 }
 
+// forget gives a task's entry in the table back.
+func (s *Server) forget(t *task) {
+	if s.keys.Remove(t.id) {
+		s.act(Action{Kind: Forget, ID: t.id})
+	}
+}
+
 func (s *Server) abandon(t *task) {
 	s.unmet++
 	s.act(Action{Kind: Abandon, ID: t.id})
@@ -961,6 +831,11 @@
 	s.takeOff(t)
 }
 
+func (s *Server) abandonCall(t *task) {
+	s.abandon(t)
+	s.linger(t)
+}
+
 func (s *Server) takeOff(t *task) {
 	if s.stopping != NoStop {
 		s.act(Action{Kind: TakeOff, ID: t.id})
@@ -968,27 +843,26 @@
 }
 
 func (s *Server) call(t *task) {
-	atMost := t.notTill
-	t.notTill = 0
 	t.calls++
-	s.act(Action{Kind: Call, ID: t.id, For: math.Min(t.dueAt-s.now-slush, atMost)})
+	s.act(Action{Kind: Call, ID: t.id, For: min(t.dueAt-s.now-slush, s.callMost)})
 }
 
-func (s *Server) skip(t *task) { s.act(Action{Kind: Skip, ID: t.id}) }
+// linger counts a call that was given up for as long as it may still be held below.
+func (s *Server) linger(t *task) { s.lingering.Add(t.id, s.now+s.callLinger) }
 
-// arm1 keeps one timer armed for whatever comes first.
-func (s *Server) arm1() {
+// setTimer keeps one timer armed for whatever comes first.
+func (s *Server) setTimer() {
 	next := s.tickAt
 	for _, t := range s.tasks {
-		if t.state != answered {
-			next = math.Min(next, t.dueAt)
+		if t.state&(answered|over) == 0 {
+			next = min(next, t.dueAt)
 		}
 		if t.state == atCall && t.notTill > s.now {
-			next = math.Min(next, t.notTill)
+			next = min(next, t.notTill)
 		}
 	}
 	if next < s.armed {
 		s.armed = next
-		s.act(Action{Kind: SetTimer, For: math.Max(0, next-s.now), Label: "next"})
+		s.act(Action{Kind: SetTimer, For: max(0, next-s.now), Label: "next"})
 	}
 }
