--- a/choice/choice.go
+++ b/choice/choice.go
@@ -73,7 +73,7 @@
 	{running | pausing, gone, answered, (*Server).takeOff},
 	{running, crowded, pausing, (*Server).takeOff},
 	{pausing, stopped, paused, nil},
-	{atCall, letOut, calling, (*Server).call},
+	{atCall, letOut, calling, (*Server).invoke},
 	{atCall, leaveOut, running, act(Skip)},
 	{atCall, due, answered, (*Server).abandon},
 	{atCall, gone, answered, nil},
@@ -146,28 +146,45 @@
 	return t.tries == 0 || t.proven || t.stage.Effect == Restartable
 }
 
-// ends is a bucket of how runs of one stage ended.
-type ends struct {
-	own     ring.Spread
-	calls   int     // that came back well
-	offered float64 // utility read
-	timely  float64 // utility finished by the due time
+// tally is a bucket of how runs of a stage ended, or calls below.
+type tally struct {
+	took            ring.Spread
+	calls, lost     int     // calls that came back well; calls that did not
+	offered, timely float64 // utility read, and of it finished by the due time
 }
 
-type stage struct {
-	Stage
-	floor  float64 // typical own run: what must be left of a task's wait
-	mean   float64 // mean own run lately
-	calls  float64 // mean calls of a run
-	price  float64 // what one unit of its utility brings the result
-	log    *ring.Ring[ends]
+// learned is what the last seconds taught, and the lowest of that in the last 30 s.
+type learned struct {
+	log    *ring.Ring[tally]
 	lowest ring.Lowest
-	all    ends // of the whole ring, at the last tick
+	all    tally
+	mean   float64
+}
+
+func newLearned(now, lasts float64) learned {
+	return learned{log: ring.New[tally](8, lasts/8, now), lowest: ring.NewLowest(6, 5, now)}
+}
+
+func (l *learned) refresh(now float64) {
+	l.all = tally{}
+	l.log.All(now, func(b *tally) {
+		l.all.took.Merge(&b.took)
+		l.all.calls += b.calls
+		l.all.lost += b.lost
+		l.all.offered += b.offered
+		l.all.timely += b.timely
+	})
+	if n := l.all.took.N; n > 0 {
+		l.mean = l.all.took.Sum / float64(n)
+	}
 }
 
-type callEnds struct {
-	took ring.Spread
-	lost int
+type stage struct {
+	Stage
+	learned
+	floor float64 // typical own run: what must be left of a task's wait
+	calls float64 // mean calls of a run
+	price float64 // what one unit of its utility brings the result
 }
 
 // Server is one server's instance.
@@ -183,30 +200,29 @@
 	free                                        Free
 	tellsWait, byWork                           bool
 
-	now                         float64
-	acts                        []Action
-	draws                       uint32
-	stages                      []stage
-	tenants                     []ring.Allowance
-	tasks                       []*task // in order of reading
-	byID                        map[string]*task
-	keys, lingering             ring.Expiring // entries kept; given-up calls still held below
-	memory                      float64
-	born, tickAt, armed         float64 // armed is when the earliest timer goes off
-	drainAt, killAt             float64
-	lastEnd                     float64 // when work last got on
-	halted                      bool
-	runCap, armTill, armGain    float64
-	arms                        [2]float64 // what each arm of the bandit earned
-	arm                         int
-	armBusy                     bool
-	callCap, callTime, callBest float64
-	callCredit, callBooked      float64 // call-seconds under the cap that were not used
-	callLog                     *ring.Ring[callEnds]
-	callLow                     ring.Lowest
-	share, shareTold            float64 // of the usual traffic wanted
-	lag                         float64 // mean time that tasks lately waited unread
-	unmet                       int     // tasks since the last tick that were read or run for nothing
+	now                             float64
+	acts                            []Action
+	draws                           uint32
+	stages                          []stage
+	tenants                         []ring.Allowance
+	tasks                           []*task // in order of reading
+	byID                            map[string]*task
+	keys, lingering                 ring.Expiring // entries kept; given-up calls still held below
+	memory                          float64
+	born, tickAt, armed             float64 // armed is when the earliest timer goes off
+	drainAt, killAt                 float64
+	lastEnd, typical                float64 // when work last got on; the longest mean run
+	halted                          bool
+	runCap, armTill, armGain        float64
+	arms                            [2]float64 // what each arm of the bandit earned
+	arm                             int
+	armBusy                         bool
+	gauges                          Gauges
+	callCap, callCredit, callBooked float64 // call-seconds under the cap that were not used
+	call                            learned // how calls below fare
+	share, shareTold                float64 // of the usual traffic wanted
+	lag                             float64 // mean time that tasks lately waited unread
+	unmet                           int     // tasks since the last tick that were read or run for nothing
 }
 
 // New makes an instance for a server that starts now.
@@ -220,8 +236,8 @@
 		wholeGoal: max(site.WholeGoal, 0.01), stageGoal: site.StageGoal, callMost: math.Inf(1),
 		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1), share: 1, shareTold: 1,
 	}
-	// Four tasks a core, spread over the callers, is what a full credit lets in.
-	s.creditFull = 4 * s.cores / max(1, float64(site.Callers))
+	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
+	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
 	if site.Cold {
 		s.coldFor = site.ColdFor
 		s.share = max(0.05, site.ColdFrom)
@@ -254,33 +270,27 @@
 func (s *Server) begin() {
 	s.born, s.tickAt, s.lastEnd, s.callBooked, s.armTill = s.now, s.now, s.now, s.now, s.now+1
 	for i := range s.stages {
-		// 8 s of runs: some tens on a busy server, yet a slow-down of a few seconds still shows.
-		s.stages[i].log = ring.New[ends](8, 1, s.now)
-		s.stages[i].lowest = ring.NewLowest(6, 5, s.now)
+		// 8 s: some tens of runs on a busy server, yet a slow-down of a few seconds still shows.
+		s.stages[i].learned = newLearned(s.now, 8)
 	}
-	s.callLog, s.callLow = ring.New[callEnds](10, 0.5, s.now), ring.NewLowest(6, 5, s.now)
-	s.runCap = s.cores
+	s.call, s.runCap = newLearned(s.now, 5), s.cores
 	s.act(Action{Kind: Health, Flag: true})
 }
 
 // Decide takes one batch of the server's events and returns what to do.
 func (s *Server) Decide(now float64, events []Event) []Action {
 	s.now, s.acts = now, s.acts[:0]
-	if s.callLog == nil {
+	if s.call.log == nil {
 		s.begin()
 	}
-	gauges := Gauges{Busy: -1, Runnable: -1}
 	for i := range events {
-		if events[i].Kind == Timer {
-			gauges = events[i].Gauges
-		}
 		s.see(&events[i])
 	}
 	s.bookCalls()
 	s.keys.Drop(now)
 	s.lingering.Drop(now)
 	if now >= s.tickAt-1e-4 {
-		s.tick(gauges)
+		s.tick()
 	}
 	s.judgeDue()
 	s.judgeCalls()
@@ -317,6 +327,7 @@
 		}
 		return
 	case Timer:
+		s.gauges = e.Gauges
 		if s.now >= s.armed-1e-4 {
 			s.armed = math.Inf(1)
 		}
@@ -413,7 +424,7 @@
 	b := t.stage.log.At(s.now)
 	// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
 	if t.ran && was != pausing && (e.Outcome == Finished || own > t.stage.floor) {
-		b.own.Add(own)
+		b.took.Add(own)
 		b.calls += t.calls - t.tries
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
@@ -424,18 +435,12 @@
 
 // refresh works out a stage's floor and means anew.
 func (s *Server) refresh(st *stage) {
-	st.all = ends{}
-	st.log.All(s.now, func(b *ends) {
-		st.all.own.Merge(&b.own)
-		st.all.calls += b.calls
-		st.all.offered += b.offered
-		st.all.timely += b.timely
-	})
-	if n := st.all.own.N; n > 0 {
-		st.mean, st.calls = st.all.own.Sum/float64(n), float64(st.all.calls)/float64(n)
+	st.learned.refresh(s.now)
+	if n := st.all.took.N; n > 0 {
+		st.calls = float64(st.all.calls) / float64(n)
 	}
-	if st.all.own.N >= 4 { // fewer say little of a median
-		st.floor = st.all.own.Median()
+	if st.all.took.N >= 4 { // fewer say little of a median
+		st.floor = st.all.took.Median()
 		st.lowest.Take(s.now, st.floor)
 	} else if !s.halted {
 		// Few ends: back towards the lowest of 30 s, in about 2 s. Not while work is halted: there
@@ -459,30 +464,14 @@
 	return s.n(onCore|calling)+1 <= s.crowdLimit()
 }
 
-// strain is how far the runs in hand have outrun the learned mean: over 1 when work slows or halts,
-// before any end has told so.
-func (s *Server) strain() float64 {
-	age, mean := 0.0, 0.0
-	for _, t := range s.tasks {
-		if t.state == running {
-			age += t.own + s.now - t.since
-			mean += t.stage.mean
-		}
-	}
-	if mean == 0 {
-		return 1
-	}
-	return max(1, age/(2*mean)) // runs in hand are on average about as old as the mean
-}
-
-func (s *Server) tick(g Gauges) {
+func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
 	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
-	typical := 0.25
+	s.typical = 0.25
 	for i := range s.stages {
-		typical = max(typical, s.stages[i].mean)
+		s.typical = max(s.typical, s.stages[i].mean)
 	}
-	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*typical
+	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical
 	if halted != s.halted && s.killAt > s.now+1e6 {
 		s.act(Action{Kind: Health, Flag: !halted})
 	}
@@ -492,7 +481,7 @@
 	}
 	s.priceStages()
 	s.learnCalls()
-	s.tuneRunCap(g)
+	s.tuneRunCap()
 	s.tuneShare()
 }
 
@@ -518,7 +507,9 @@
 
 // tuneRunCap climbs fast while cores are free and work is held. How many may crowd each core beyond
 // that is what the two arms try: one a core, or half as many again.
-func (s *Server) tuneRunCap(g Gauges) {
+func (s *Server) tuneRunCap() {
+	g := s.gauges
+	s.gauges = Gauges{Busy: -1, Runnable: -1}
 	waiting := s.n(held|paused) > 0
 	s.armBusy = s.armBusy || waiting
 	if s.now >= s.armTill {
@@ -565,13 +556,10 @@
 	}
 	s.shareTold = s.share
 	value := s.share
-	switch {
-	case s.free == Level:
+	if s.free == Level {
 		value = 1 - s.share
-	case s.free == Credit && s.share < 1:
-		value = s.share * s.creditFull
-	case s.free == Credit:
-		value = 1e6
+	} else if s.free == Credit {
+		value *= s.creditFull
 	}
 	s.act(Action{Kind: SetFree, Value: value})
 }
@@ -653,10 +641,13 @@
 		return
 	}
 	slices.SortStableFunc(line, byGoal)
-	strain, ahead, aheadCalls := s.strain(), 0.0, s.n(atCall)*s.callTime
+	// Runs take longer than learned when work slows or halts, and ends come later than usual: that
+	// shows before any end has told so.
+	strain := max(1, (s.now-s.lastEnd)*s.n(onCore)/(4*max(s.typical, 0.25)))
+	ahead, aheadCalls := 0.0, s.n(atCall)*s.call.mean
 	for i := 0; i < len(line); i++ {
 		t := line[i]
-		run, away := t.stage.mean*strain, t.stage.calls*s.callTime
+		run, away := t.stage.mean*strain, t.stage.calls*s.call.mean
 		wait, byCalls := ahead/s.runCap, away > 0 && aheadCalls/s.callCap > ahead/s.runCap
 		if byCalls {
 			wait = aheadCalls / s.callCap
@@ -674,7 +665,7 @@
 			}
 		}
 		ahead -= line[worst].stage.mean * strain
-		aheadCalls -= line[worst].stage.calls * s.callTime
+		aheadCalls -= line[worst].stage.calls * s.call.mean
 		s.step(line[worst], noRoom)
 		line = slices.Delete(line, worst, worst+1)
 		i--
@@ -683,7 +674,7 @@
 
 // density is what a task brings for the share that it takes of the cores and of the calls.
 func (s *Server) density(t *task) float64 {
-	takes := t.stage.mean/s.runCap + t.stage.calls*s.callTime/s.callCap
+	takes := t.stage.mean/s.runCap + t.stage.calls*s.call.mean/s.callCap
 	return t.stage.price * t.value / max(takes, 1e-4)
 }
 
@@ -703,7 +694,7 @@
 	if t.state != calling {
 		return
 	}
-	b := s.callLog.At(s.now)
+	b := s.call.log.At(s.now)
 	if e.Outcome == Finished {
 		b.took.Add(e.Took)
 		s.step(t, back)
@@ -721,19 +712,13 @@
 
 // learnCalls learns how long calls take and how many may be out.
 func (s *Server) learnCalls() {
-	var all callEnds
-	s.callLog.All(s.now, func(b *callEnds) {
-		all.took.Merge(&b.took)
-		all.lost += b.lost
-	})
-	if all.took.N >= 4 {
-		s.callTime = all.took.Sum / float64(all.took.N)
-		s.callLow.Take(s.now, s.callTime)
+	s.call.refresh(s.now)
+	if s.call.all.took.N >= 4 {
+		s.call.lowest.Take(s.now, s.call.mean)
 	}
-	s.callBest = s.callLow.Min(s.now)
 	// Halved in 1.4 s while calls are slow or one in four is lost; doubled as fast while all are in use.
 	switch {
-	case s.slow() || 3*all.lost > all.took.N+3:
+	case s.slow() || 3*s.call.all.lost > s.call.all.took.N+3:
 		s.callCap *= 0.95
 	case s.n(atCall) > 0:
 		s.callCap *= 1.05
@@ -742,7 +727,7 @@
 }
 
 // slow tells that calls take twice what they lately took at best.
-func (s *Server) slow() bool { return s.callTime > 2*s.callBest }
+func (s *Server) slow() bool { return s.call.mean > 2*s.call.lowest.Min(s.now) }
 
 const slush = 0.01 // the design's upper value: answers still have to be written and sent
 
@@ -752,7 +737,7 @@
 		if t.state != atCall {
 			continue
 		}
-		late := s.now+s.callTime/2 > t.end
+		late := s.now+s.call.mean/2 > t.end
 		poorer := t.stage.SkipUtility
 		switch {
 		case poorer > 0 && s.crowdRoom() &&
@@ -842,7 +827,7 @@
 	}
 }
 
-func (s *Server) call(t *task) {
+func (s *Server) invoke(t *task) {
 	t.calls++
 	s.act(Action{Kind: Call, ID: t.id, For: min(t.dueAt-s.now-slush, s.callMost)})
 }
