--- a/choice/choice.go
+++ b/choice/choice.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		s.bookCalls()
-		if t.state&(running|pausing) != 0 {
+		if t.state&onCore != 0 {
 			t.own += s.now - t.since
 		}
 		s.memory -= s.weight(t)
@@ -133,8 +133,7 @@
 	arrived, dueAt, goal float64 // goal is the due time, dueAt the due moment, when the caller leaves
 	end                  float64 // the last moment at which finishing it pays
 	since, own           float64 // in this state; on or near a core so far, without calls and pauses
-	memory               float64
-	value                float64 // utility, less where its tenant is over its share
+	memory, value        float64 // value is the utility, less where its tenant is over its share
 	calls, tries         int     // calls let out, and those of them that did not come back well
 	notTill              float64 // no call before this
 	ran, repeated        bool
@@ -184,39 +183,37 @@
 	learned
 	floor float64 // typical own run: what must be left of a task's wait
 	calls float64 // mean calls of a run
+	fares float64 // part of the utility read that was finished in time
 	price float64 // what one unit of its utility brings the result
 }
 
 // Server is one server's instance.
 type Server struct {
 	// Derived at start.
-	seed                                        uint32
+	seed, draws                                 uint32
 	cores, crowd, coldFrom, coldFor             float64 // coldFor is 0 where it was born warm
 	memoryLimit, runFactor, keyMemory           float64
 	drainGrace, overShare, reuseFor, adviceMax  float64
 	leastCalls, mostCalls, callMost, callLinger float64
 	wholeGoal, stageGoal, creditFull            float64
+	tellsWait, byWork                           bool
 	stopping                                    Stopping
 	free                                        Free
-	tellsWait, byWork                           bool
 
-	now                             float64
+	now, memory                     float64
 	acts                            []Action
-	draws                           uint32
 	stages                          []stage
 	tenants                         []ring.Allowance
 	tasks                           []*task // in order of reading
 	byID                            map[string]*task
 	keys, lingering                 ring.Expiring // entries kept; given-up calls still held below
-	memory                          float64
-	born, tickAt, armed             float64 // armed is when the earliest timer goes off
-	drainAt, killAt                 float64
+	born, drainAt, killAt           float64
+	tickAt, armed                   float64 // armed is when the earliest timer goes off
 	lastEnd, typical                float64 // when work last got on; the longest mean run
-	halted                          bool
 	runCap, armTill, armGain        float64
 	arms                            [2]float64 // what each arm of the bandit earned
 	arm                             int
-	armBusy                         bool
+	armBusy, halted                 bool
 	gauges                          Gauges
 	callCap, callCredit, callBooked float64 // call-seconds under the cap that were not used
 	call                            learned // how calls below fare
@@ -315,37 +312,30 @@
 }
 
 func (s *Server) see(e *Event) {
-	switch e.Kind {
-	case Read:
+	t := s.byID[e.ID]
+	switch {
+	case e.Kind == Read:
 		s.read(e)
-		return
-	case Drain:
+	case e.Kind == Drain:
 		s.drainAt, s.killAt = s.now, s.now+e.Took
 		s.act(Action{Kind: Health, Flag: false})
 		for _, t := range s.tasks {
 			t.dueAt = min(t.dueAt, s.lastAnswer())
 		}
-		return
-	case Timer:
+	case e.Kind == Timer:
 		s.gauges = e.Gauges
 		if s.now >= s.armed-1e-4 {
 			s.armed = math.Inf(1)
 		}
-		return
-	}
-	t := s.byID[e.ID]
-	if t == nil {
-		return
-	}
-	switch e.Kind {
-	case Ended:
+	case t == nil: // it is over
+	case e.Kind == Ended:
 		s.runEnded(t, e)
-	case Parked:
+	case e.Kind == Parked:
 		s.lastEnd = s.now
 		s.step(t, parked)
-	case CallDone:
+	case e.Kind == CallDone && t.state == calling:
 		s.callDone(t, e)
-	case Gone:
+	case e.Kind == Gone:
 		s.step(t, gone)
 	}
 }
@@ -412,19 +402,15 @@
 
 func (s *Server) runEnded(t *task, e *Event) {
 	s.lastEnd = s.now
-	was, own := t.state, t.own
-	if was&(running|answered) != 0 {
-		own += s.now - t.since
-	}
+	was, on := t.state, ended
 	if e.Outcome == Stopped || e.Outcome == NeverStarted {
-		s.step(t, stopped)
-	} else {
-		s.step(t, ended)
+		on = stopped
 	}
+	s.step(t, on)
 	b := t.stage.log.At(s.now)
 	// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
-	if t.ran && was != pausing && (e.Outcome == Finished || own > t.stage.floor) {
-		b.took.Add(own)
+	if t.ran && t.state == over && (e.Outcome == Finished || t.own > t.stage.floor) {
+		b.took.Add(t.own)
 		b.calls += t.calls - t.tries
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
@@ -448,6 +434,10 @@
 		st.floor += 0.05 * min(st.lowest.Min(s.now)-st.floor, 0)
 	}
 	st.floor = min(st.floor, st.TimeLimit/2)
+	st.fares = 1
+	if st.all.offered > 0 {
+		st.fares = st.all.timely / st.all.offered
+	}
 }
 
 // crowdLimit is what the cores survive, cold or warm: a ceiling. A fifth is kept free.
@@ -488,48 +478,40 @@
 // priceStages tells what one unit of each stage's utility brings the result: its part of the whole and,
 // for the stage that fares worst, of that part of the goal.
 func (s *Server) priceStages() {
-	total, worst := 0.0, -1
+	total, worst := 1e-9, &s.stages[0]
 	for i := range s.stages {
-		all := &s.stages[i].all
-		total += all.offered
-		if all.offered > 0 && (worst < 0 ||
-			all.timely*s.stages[worst].all.offered < s.stages[worst].all.timely*all.offered) {
-			worst = i
+		total += s.stages[i].all.offered
+		if s.stages[i].fares < worst.fares {
+			worst = &s.stages[i]
 		}
 	}
 	for i := range s.stages {
-		s.stages[i].price = s.wholeGoal / max(total, 1e-9)
-		if i == worst {
-			s.stages[i].price += s.stageGoal / s.stages[i].all.offered
-		}
+		s.stages[i].price = s.wholeGoal / total
 	}
+	worst.price += s.stageGoal / max(worst.all.offered, 1e-9)
 }
 
 // tuneRunCap climbs fast while cores are free and work is held. How many may crowd each core beyond
 // that is what the two arms try: one a core, or half as many again.
 func (s *Server) tuneRunCap() {
 	g := s.gauges
-	s.gauges = Gauges{Busy: -1, Runnable: -1}
+	s.gauges.Runnable = -1 // each reading counts once
 	waiting := s.n(held|paused) > 0
 	s.armBusy = s.armBusy || waiting
-	if s.now >= s.armTill {
-		if s.armBusy {
-			s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm]) // the last three or so tell
-			s.arm = 0
-			if s.arms[1] > s.arms[0] {
-				s.arm = 1
-			}
-			if s.chance() < 0.15 { // now and then the other, lest a change go unseen
-				s.arm = 1 - s.arm
-			}
+	if s.now >= s.armTill && s.armBusy {
+		s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm]) // the last three or so tell
+		s.arm = 0
+		// Now and then the other one, lest a change go unseen.
+		if better := s.arms[1] > s.arms[0]; better != (s.chance() < 0.15) {
+			s.arm = 1
 		}
+	}
+	if s.now >= s.armTill {
 		s.armTill, s.armGain, s.armBusy = s.now+1, 0, false
 	}
 	switch {
 	case g.Runnable >= 0 && g.Runnable < s.cores && waiting:
 		s.runCap += s.cores - g.Runnable
-	case g.Runnable < 0 && g.Busy >= 0 && g.Busy < 0.95 && waiting:
-		s.runCap++
 	case g.Runnable > s.cores*(1+0.5*float64(s.arm)):
 		s.runCap--
 	}
@@ -691,9 +673,6 @@
 
 func (s *Server) callDone(t *task, e *Event) {
 	s.lastEnd = s.now
-	if t.state != calling {
-		return
-	}
 	b := s.call.log.At(s.now)
 	if e.Outcome == Finished {
 		b.took.Add(e.Took)
@@ -777,13 +756,7 @@
 
 // sendAway says when to come back: when the hold as it stands has been run.
 func (s *Server) sendAway(t *task) {
-	ahead := 0.0
-	for _, o := range s.tasks {
-		if o.state == held {
-			ahead += o.stage.mean
-		}
-	}
-	s.turnAway(t, min(s.adviceMax, max(0.1, ahead/s.runCap)))
+	s.turnAway(t, min(s.adviceMax, max(0.1, s.n(held)*s.typical/s.runCap)))
 }
 
 // turnAway rejects a task that never ran. It asks not to try elsewhere while tasks wait unread for long
