--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,7 +10,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -69,7 +69,7 @@
 	{sharing | running | pausing | answered, ended, over, nil},
 	{sharing | running, stopped, over, (*Server).abandon},
 	{running | pausing, parked, atCall, nil},
-	{running | pausing, due, answered, (*Server).abandonRun},
+	{running | pausing, due, answered, both((*Server).abandon, (*Server).takeOff)},
 	{running | pausing, gone, answered, (*Server).takeOff},
 	{running, crowded, pausing, (*Server).takeOff},
 	{pausing, stopped, paused, nil},
@@ -79,7 +79,7 @@
 	{atCall, gone, answered, nil},
 	{calling, back, running, nil},
 	{calling, callLost, atCall, nil},
-	{calling, due, answered, (*Server).abandonCall},
+	{calling, due, answered, both((*Server).abandon, (*Server).linger)},
 	{calling, gone, answered, (*Server).linger},
 	{answered, stopped, over, nil},
 }
@@ -97,7 +97,11 @@
 		}
 		s.memory -= s.weight(t)
 		t.state, t.since = r.next, s.now
-		s.memory += s.weight(t)
+		if t.state == over {
+			delete(s.byID, t.id)
+		} else {
+			s.memory += s.weight(t)
+		}
 		if r.do != nil {
 			r.do(s, t)
 		}
@@ -107,11 +111,8 @@
 
 // weight is the memory that a task takes in its state.
 func (s *Server) weight(t *task) float64 {
-	switch t.state {
-	case held, sharing:
+	if t.state&(held|sharing) != 0 {
 		return t.memory
-	case over:
-		return 0
 	}
 	return t.memory * s.runFactor
 }
@@ -147,9 +148,8 @@
 
 // tally is a bucket of how runs of a stage ended, or calls below.
 type tally struct {
-	took            ring.Spread
-	calls, lost     int     // calls that came back well; calls that did not
-	offered, timely float64 // utility read, and of it finished by the due time
+	took        ring.Spread
+	calls, lost int // calls that came back well; calls that did not
 }
 
 // learned is what the last seconds taught, and the lowest of that in the last 30 s.
@@ -170,8 +170,6 @@
 		l.all.took.Merge(&b.took)
 		l.all.calls += b.calls
 		l.all.lost += b.lost
-		l.all.offered += b.offered
-		l.all.timely += b.timely
 	})
 	if n := l.all.took.N; n > 0 {
 		l.mean = l.all.took.Sum / float64(n)
@@ -183,19 +181,17 @@
 	learned
 	floor float64 // typical own run: what must be left of a task's wait
 	calls float64 // mean calls of a run
-	fares float64 // part of the utility read that was finished in time
-	price float64 // what one unit of its utility brings the result
 }
 
 // Server is one server's instance.
 type Server struct {
 	// Derived at start.
-	seed, draws                                 uint32
+	seed, draws                                 int64
 	cores, crowd, coldFrom, coldFor             float64 // coldFor is 0 where it was born warm
 	memoryLimit, runFactor, keyMemory           float64
 	drainGrace, overShare, reuseFor, adviceMax  float64
 	leastCalls, mostCalls, callMost, callLinger float64
-	wholeGoal, stageGoal, creditFull            float64
+	creditFull                                  float64
 	tellsWait, byWork                           bool
 	stopping                                    Stopping
 	free                                        Free
@@ -225,22 +221,19 @@
 // New makes an instance for a server that starts now.
 func New(seed int64, site Site) *Server {
 	s := &Server{
-		seed: uint32(seed) ^ uint32(seed>>32), byID: map[string]*task{}, cores: max(1, float64(site.Cores)),
-		crowd: max(1, site.Crowd), coldFrom: site.ColdFrom, memoryLimit: site.Memory,
+		seed: seed, byID: map[string]*task{}, cores: max(1, float64(site.Cores)),
+		crowd: max(1, site.Crowd), coldFrom: site.ColdFrom, coldFor: site.ColdFor,
+		memoryLimit: site.Memory, adviceMax: site.AdviceMax,
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork,
-		wholeGoal: max(site.WholeGoal, 0.01), stageGoal: site.StageGoal, callMost: math.Inf(1),
+		callMost: math.Inf(1), typical: 0.25, gauges: Gauges{Runnable: -1},
 		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1), share: 1, shareTold: 1,
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
-	if site.Cold {
-		s.coldFor = site.ColdFor
-		s.share = max(0.05, site.ColdFrom)
-	}
-	if site.Advice {
-		s.adviceMax = site.AdviceMax
+	if s.coldFor > 0 {
+		s.share = max(0.05, s.coldFrom)
 	}
 	// A tier has its own guard: only a flood is kept from it. A shared dependency gets sluggish long
 	// before it falls: a quarter of the share is let out however slow it is, and never all of it, as
@@ -294,12 +287,7 @@
 	s.judgeCrowd()
 	s.judgeRoom()
 	s.judgeHold()
-	s.tasks = slices.DeleteFunc(s.tasks, func(t *task) bool {
-		if t.state == over {
-			delete(s.byID, t.id)
-		}
-		return t.state == over
-	})
+	s.tasks = slices.DeleteFunc(s.tasks, func(t *task) bool { return t.state == over })
 	s.setTimer()
 	return s.acts
 }
@@ -311,6 +299,10 @@
 	return func(s *Server, t *task) { s.act(Action{Kind: kind, ID: t.id}) }
 }
 
+func both(f, g func(*Server, *task)) func(*Server, *task) {
+	return func(s *Server, t *task) { f(s, t); g(s, t) }
+}
+
 func (s *Server) see(e *Event) {
 	t := s.byID[e.ID]
 	switch {
@@ -367,7 +359,6 @@
 	if in.Tenant >= 0 && in.Tenant < len(s.tenants) && !s.tenants[in.Tenant].Take(s.now) {
 		t.value *= s.overShare
 	}
-	st.log.At(s.now).offered += t.value
 	s.lag += 0.05 * (in.Age - s.lag)
 	s.byID[t.id] = t
 	s.tasks = append(s.tasks, t)
@@ -414,7 +405,6 @@
 		b.calls += t.calls - t.tries
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
-		b.timely += t.value
 		s.armGain += t.value
 	}
 }
@@ -434,10 +424,6 @@
 		st.floor += 0.05 * min(st.lowest.Min(s.now)-st.floor, 0)
 	}
 	st.floor = min(st.floor, st.TimeLimit/2)
-	st.fares = 1
-	if st.all.offered > 0 {
-		st.fares = st.all.timely / st.all.offered
-	}
 }
 
 // crowdLimit is what the cores survive, cold or warm: a ceiling. A fifth is kept free.
@@ -457,40 +443,21 @@
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
 	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
-	s.typical = 0.25
-	for i := range s.stages {
-		s.typical = max(s.typical, s.stages[i].mean)
-	}
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical
 	if halted != s.halted && s.killAt > s.now+1e6 {
 		s.act(Action{Kind: Health, Flag: !halted})
 	}
 	s.halted = halted
+	s.typical = 0.25 // where little is known, or runs are so short that a pause of the cores shows
 	for i := range s.stages {
 		s.refresh(&s.stages[i])
+		s.typical = max(s.typical, s.stages[i].mean)
 	}
-	s.priceStages()
 	s.learnCalls()
 	s.tuneRunCap()
 	s.tuneShare()
 }
 
-// priceStages tells what one unit of each stage's utility brings the result: its part of the whole and,
-// for the stage that fares worst, of that part of the goal.
-func (s *Server) priceStages() {
-	total, worst := 1e-9, &s.stages[0]
-	for i := range s.stages {
-		total += s.stages[i].all.offered
-		if s.stages[i].fares < worst.fares {
-			worst = &s.stages[i]
-		}
-	}
-	for i := range s.stages {
-		s.stages[i].price = s.wholeGoal / total
-	}
-	worst.price += s.stageGoal / max(worst.all.offered, 1e-9)
-}
-
 // tuneRunCap climbs fast while cores are free and work is held. How many may crowd each core beyond
 // that is what the two arms try: one a core, or half as many again.
 func (s *Server) tuneRunCap() {
@@ -549,8 +516,7 @@
 // chance is a draw from 0 to under 1.
 func (s *Server) chance() float64 {
 	s.draws++
-	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, s.seed), s.draws)
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+	return float64(crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d", s.seed, s.draws))) / (1 << 32)
 }
 
 // judgeDue gives up what is due, what can earn nothing, and what is short of time.
@@ -613,19 +579,11 @@
 // judgeHold goes through the hold by due time and turns away what the cores, or the calls, can't reach
 // in time: of all up to the one that would be late, the one that brings least for what it takes.
 func (s *Server) judgeHold() {
-	var line []*task
-	for _, t := range s.tasks {
-		if t.state == held {
-			line = append(line, t)
-		}
-	}
-	if line == nil {
-		return
-	}
+	line := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != held })
 	slices.SortStableFunc(line, byGoal)
 	// Runs take longer than learned when work slows or halts, and ends come later than usual: that
 	// shows before any end has told so.
-	strain := max(1, (s.now-s.lastEnd)*s.n(onCore)/(4*max(s.typical, 0.25)))
+	strain := max(1, (s.now-s.lastEnd)*s.n(onCore)/(4*s.typical))
 	ahead, aheadCalls := 0.0, s.n(atCall)*s.call.mean
 	for i := 0; i < len(line); i++ {
 		t := line[i]
@@ -657,7 +615,7 @@
 // density is what a task brings for the share that it takes of the cores and of the calls.
 func (s *Server) density(t *task) float64 {
 	takes := t.stage.mean/s.runCap + t.stage.calls*s.call.mean/s.callCap
-	return t.stage.price * t.value / max(takes, 1e-4)
+	return t.value / max(takes, 1e-4)
 }
 
 // out counts the calls in hand, those included that were given up but may still be held below.
@@ -784,16 +742,6 @@
 	s.act(Action{Kind: Abandon, ID: t.id})
 }
 
-func (s *Server) abandonRun(t *task) {
-	s.abandon(t)
-	s.takeOff(t)
-}
-
-func (s *Server) abandonCall(t *task) {
-	s.abandon(t)
-	s.linger(t)
-}
-
 func (s *Server) takeOff(t *task) {
 	if s.stopping != NoStop {
 		s.act(Action{Kind: TakeOff, ID: t.id})
@@ -815,9 +763,6 @@
 		if t.state&(answered|over) == 0 {
 			next = min(next, t.dueAt)
 		}
-		if t.state == atCall && t.notTill > s.now {
-			next = min(next, t.notTill)
-		}
 	}
 	if next < s.armed {
 		s.armed = next
--- a/choice/types.go
+++ b/choice/types.go
@@ -62,8 +62,7 @@
 	OverShare         float64 // utility of what exceeds a tenant's share, as a fraction
 	Servers, Callers  int
 	Cores             int
-	Cold              bool
-	ColdFrom, ColdFor float64
+	ColdFrom, ColdFor float64 // part of its speed that a cold server has, and for how long; 0 where warm
 	DrainGrace        float64
 	AnswerSlack       float64
 	Crowd             float64 // running tasks a core that a warm server survives, mean of CrowdFor
@@ -79,13 +78,9 @@
 	Free              Free
 	ReuseFor          float64 // an answer to a read serves repeats for this long
 	TellsWait         bool
-	Advice            bool // advice to stay away is forwarded
-	AdviceMax         float64
+	AdviceMax         float64 // longest advice to stay away that is forwarded, 0 where none is
 	Idle              float64
 	UtilityByWork     bool
-	WholeGoal         float64 // weights of the result: whole run and worst window, worst stage, worst tenant
-	StageGoal         float64
-	TenantGoal        float64
 }
 
 // Task is what came with a task when it was read.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -48,12 +48,6 @@
 		StaysForMs     float64   `json:"staysForMs"`
 		Upstreams      int       `json:"upstreams"`
 	} `json:"familyInfo"`
-	Goal struct {
-		Whole       float64 `json:"whole"`
-		WorstClass  float64 `json:"worstClass"`
-		WorstTenant float64 `json:"worstTenant"`
-		WorstWindow float64 `json:"worstWindow"`
-	} `json:"goal"`
 	Tenants []struct {
 		QuotaPerS float64 `json:"quotaPerS"`
 	} `json:"tenants"`
@@ -64,8 +58,7 @@
 	f, c := &s.FamilyInfo, &s.Contract
 	site := choice.Site{
 		OverShare: s.OverShareWorth, Servers: s.Servers, Callers: f.Upstreams, Cores: f.Cores,
-		Cold: f.Cold, ColdFrom: c.ColdFrom, ColdFor: c.ColdMs / 1000,
-		DrainGrace: c.DrainGraceMs / 1000, AnswerSlack: c.GraceToAnswerMs / 1000,
+		ColdFrom: c.ColdFrom, DrainGrace: c.DrainGraceMs / 1000, AnswerSlack: c.GraceToAnswerMs / 1000,
 		Crowd: c.FallMultiple, CrowdFor: c.TipAfterMs / 1000,
 		Memory: f.MemLimitKb, RunFactor: f.RunFactor, KeyMemory: f.KbPerKey,
 		Below:     map[string]choice.Below{"shared": choice.Shared, "tier": choice.Tier}[f.Below],
@@ -74,9 +67,14 @@
 		Free: map[string]choice.Free{"level": choice.Level, "credit": choice.Credit,
 			"weight": choice.Odds}[f.Say],
 		ReuseFor: f.ShareForMs / 1000, TellsWait: f.PassesDeadline,
-		Advice: s.Caps.RetryAfter, AdviceMax: s.Caps.MaxRetryAfterMs / 1000, Idle: f.IdleMs / 1000,
-		UtilityByWork: s.ValueBy == "work", WholeGoal: s.Goal.Whole + s.Goal.WorstWindow,
-		StageGoal: s.Goal.WorstClass, TenantGoal: s.Goal.WorstTenant,
+		Idle:          f.IdleMs / 1000,
+		UtilityByWork: s.ValueBy == "work",
+	}
+	if f.Cold {
+		site.ColdFor = c.ColdMs / 1000
+	}
+	if s.Caps.RetryAfter {
+		site.AdviceMax = s.Caps.MaxRetryAfterMs / 1000
 	}
 	for i, c := range s.Classes {
 		st := choice.Stage{DueTime: c.ObjectiveMs / 1000, DueStretch: c.AimStretch,
