--- a/choice/choice.go
+++ b/choice/choice.go
@@ -86,8 +86,7 @@
 
 // step feeds one input to a task's life and keeps the counts that follow from states.
 func (s *Server) step(t *task, on input) {
-	for i := range life {
-		r := &life[i]
+	for _, r := range life {
 		if r.in&t.state == 0 || r.on&on == 0 {
 			continue
 		}
@@ -142,37 +141,25 @@
 }
 
 // mayCall tells whether a call of it may go out: one that may have had its effect is not repeated.
-func (t *task) mayCall() bool {
-	return t.tries == 0 || t.proven || t.stage.Effect == Restartable
-}
-
-// tally is a bucket of how runs of a stage ended, or calls below.
-type tally struct {
-	took        ring.Spread
-	calls, lost int // calls that came back well; calls that did not
-}
+func (t *task) mayCall() bool { return t.tries == 0 || t.proven || t.stage.Effect == Restartable }
 
-// learned is what the last seconds taught, and the lowest of that in the last 30 s.
+// learned is what the last seconds taught of runs or calls, and the lowest of that in the last 30 s.
 type learned struct {
-	log    *ring.Ring[tally]
+	log    *ring.Ring[ring.Spread]
 	lowest ring.Lowest
-	all    tally
+	all    ring.Spread
 	mean   float64
 }
 
 func newLearned(now, lasts float64) learned {
-	return learned{log: ring.New[tally](8, lasts/8, now), lowest: ring.NewLowest(6, 5, now)}
+	return learned{log: ring.New[ring.Spread](8, lasts/8, now), lowest: ring.NewLowest(6, 5, now)}
 }
 
 func (l *learned) refresh(now float64) {
-	l.all = tally{}
-	l.log.All(now, func(b *tally) {
-		l.all.took.Merge(&b.took)
-		l.all.calls += b.calls
-		l.all.lost += b.lost
-	})
-	if n := l.all.took.N; n > 0 {
-		l.mean = l.all.took.Sum / float64(n)
+	l.all = ring.Spread{}
+	l.log.All(now, l.all.Merge)
+	if l.all.N > 0 {
+		l.mean = l.all.Sum / float64(l.all.N)
 	}
 }
 
@@ -227,8 +214,8 @@
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork,
-		callMost: math.Inf(1), typical: 0.25, gauges: Gauges{Runnable: -1},
-		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1), share: 1, shareTold: 1,
+		callMost: math.Inf(1), typical: 0.25, gauges: Gauges{Runnable: -1}, share: 1, shareTold: 1,
+		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
@@ -332,6 +319,8 @@
 	}
 }
 
+func (s *Server) draining() bool { return !math.IsInf(s.killAt, 1) }
+
 // lastAnswer is when a draining server must have answered all: three hundredths before the kill are
 // several ticks of any site known.
 func (s *Server) lastAnswer() float64 { return s.killAt - 0.03 }
@@ -348,10 +337,9 @@
 	}
 	t.dueAt = min(max(t.dueAt, s.now), s.lastAnswer())
 	t.goal = min(t.arrived+min(st.DueTime+st.DueStretch*in.Hint, st.TimeLimit), t.dueAt)
-	t.end = t.goal
-	// Exception to the due moment: an answer after the due time that earns less than half blocks better work.
-	if st.LateUtility >= 0.5 {
-		t.end = t.dueAt
+	t.end = t.dueAt
+	if st.LateUtility < 0.5 { // exception: answers after the due time block what earns more
+		t.end = t.goal
 	}
 	if s.byWork && in.Hint > 0 {
 		t.value *= in.Hint
@@ -368,17 +356,16 @@
 	switch {
 	case s.now >= t.dueAt:
 		s.step(t, due)
+	case t.arrived > s.drainAt+s.drainGrace:
+		s.step(t, noRoom)
 	case in.Earlier != "" && (t.repeated || shares):
 		s.step(t, repeats)
-	case t.arrived > s.drainAt+s.drainGrace, s.used() > 0.95*s.memoryLimit:
+	case s.used() > 0.95*s.memoryLimit:
 		s.step(t, noRoom)
+	case st.Effect == Fingerprinted && s.used()+s.keyMemory > 0.9*s.memoryLimit:
+		s.step(t, noRoom) // without its entry a repeat would bear no mark and run too: no entry, no run
 	case st.Effect == Fingerprinted:
-		// Without its entry a repeat would bear no mark and run too: no entry, no run.
-		if s.used()+s.keyMemory > 0.9*s.memoryLimit {
-			s.step(t, noRoom)
-		} else {
-			s.keep(t, st.Window)
-		}
+		s.keep(t, st.Window)
 	case shares && in.Marked && s.used()+s.keyMemory < 0.5*s.memoryLimit:
 		s.keep(t, t.dueAt-s.now+s.reuseFor) // only a saving: it takes no memory that tasks need
 	}
@@ -398,11 +385,10 @@
 		on = stopped
 	}
 	s.step(t, on)
-	b := t.stage.log.At(s.now)
 	// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
 	if t.ran && t.state == over && (e.Outcome == Finished || t.own > t.stage.floor) {
-		b.took.Add(t.own)
-		b.calls += t.calls - t.tries
+		t.stage.log.At(s.now).Add(t.own)
+		t.stage.calls += 0.05 * (float64(t.calls-t.tries) - t.stage.calls) // the last 20 tell
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
 		s.armGain += t.value
@@ -412,11 +398,8 @@
 // refresh works out a stage's floor and means anew.
 func (s *Server) refresh(st *stage) {
 	st.learned.refresh(s.now)
-	if n := st.all.took.N; n > 0 {
-		st.calls = float64(st.all.calls) / float64(n)
-	}
-	if st.all.took.N >= 4 { // fewer say little of a median
-		st.floor = st.all.took.Median()
+	if st.all.N >= 4 { // fewer say little of a median
+		st.floor = st.all.Median()
 		st.lowest.Take(s.now, st.floor)
 	} else if !s.halted {
 		// Few ends: back towards the lowest of 30 s, in about 2 s. Not while work is halted: there
@@ -436,15 +419,13 @@
 }
 
 // crowdRoom tells whether one more may come to the cores, should all calls return at once.
-func (s *Server) crowdRoom() bool {
-	return s.n(onCore|calling)+1 <= s.crowdLimit()
-}
+func (s *Server) crowdRoom() bool { return s.n(onCore|calling)+1 <= s.crowdLimit() }
 
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
 	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical
-	if halted != s.halted && s.killAt > s.now+1e6 {
+	if halted != s.halted && !s.draining() {
 		s.act(Action{Kind: Health, Flag: !halted})
 	}
 	s.halted = halted
@@ -465,21 +446,19 @@
 	s.gauges.Runnable = -1 // each reading counts once
 	waiting := s.n(held|paused) > 0
 	s.armBusy = s.armBusy || waiting
-	if s.now >= s.armTill && s.armBusy {
-		s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm]) // the last three or so tell
-		s.arm = 0
-		// Now and then the other one, lest a change go unseen.
-		if better := s.arms[1] > s.arms[0]; better != (s.chance() < 0.15) {
-			s.arm = 1
-		}
-	}
 	if s.now >= s.armTill {
+		if s.armBusy {
+			s.arms[s.arm] += 0.3 * (s.armGain - s.arms[s.arm]) // the last three or so tell
+			s.arm = 0
+			if (s.arms[1] > s.arms[0]) != (s.chance() < 0.15) { // at times the other one: things change
+				s.arm = 1
+			}
+		}
 		s.armTill, s.armGain, s.armBusy = s.now+1, 0, false
 	}
-	switch {
-	case g.Runnable >= 0 && g.Runnable < s.cores && waiting:
+	if g.Runnable >= 0 && g.Runnable < s.cores && waiting {
 		s.runCap += s.cores - g.Runnable
-	case g.Runnable > s.cores*(1+0.5*float64(s.arm)):
+	} else if g.Runnable > s.cores*(1+0.5*float64(s.arm)) {
 		s.runCap--
 	}
 	s.runCap = max(s.cores, min(s.runCap, float64(len(s.tasks)), s.crowdLimit()))
@@ -495,22 +474,21 @@
 	if s.halted {
 		s.share = 0.05
 	}
-	if s.killAt < math.Inf(1) {
+	if s.draining() {
 		s.share = 0
 	}
 	s.unmet = 0
-	edge := (s.share == 0 || s.share == 1) && s.share != s.shareTold
-	if s.free == NoFree || math.Abs(s.share-s.shareTold) < 0.02 && !edge {
+	told := math.Round(s.share*50) / 50 // smaller steps would only add messages
+	if s.free == NoFree || told == s.shareTold {
 		return
 	}
-	s.shareTold = s.share
-	value := s.share
+	s.shareTold = told
 	if s.free == Level {
-		value = 1 - s.share
+		told = 1 - told
 	} else if s.free == Credit {
-		value *= s.creditFull
+		told *= s.creditFull
 	}
-	s.act(Action{Kind: SetFree, Value: value})
+	s.act(Action{Kind: SetFree, Value: told})
 }
 
 // chance is a draw from 0 to under 1.
@@ -559,13 +537,10 @@
 }
 
 func (s *Server) startable(t *task) bool {
-	switch {
-	case t.state != held:
-		return t.state == paused
-	case t.stage.Calls && s.n(atCall) >= max(2, s.callCap):
-		return false // work begun in vain: no more of their kind while many wait to be let out
-	}
-	return s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
+	fits := s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
+	// While many wait to be let out, more of their kind would be work begun in vain.
+	vain := t.stage.Calls && s.n(atCall) >= max(2, s.callCap)
+	return t.state == paused || t.state == held && fits && !vain
 }
 
 // judgeCrowd takes the latest due off the cores where calls have come back all at once.
@@ -633,11 +608,11 @@
 	s.lastEnd = s.now
 	b := s.call.log.At(s.now)
 	if e.Outcome == Finished {
-		b.took.Add(e.Took)
+		b.Add(e.Took)
 		s.step(t, back)
 		return
 	}
-	b.lost++
+	b.Lost++
 	if e.Outcome == TimedOut {
 		s.linger(t)
 	}
@@ -650,12 +625,12 @@
 // learnCalls learns how long calls take and how many may be out.
 func (s *Server) learnCalls() {
 	s.call.refresh(s.now)
-	if s.call.all.took.N >= 4 {
+	if s.call.all.N >= 4 {
 		s.call.lowest.Take(s.now, s.call.mean)
 	}
 	// Halved in 1.4 s while calls are slow or one in four is lost; doubled as fast while all are in use.
 	switch {
-	case s.slow() || 3*s.call.all.lost > s.call.all.took.N+3:
+	case s.slow() || 3*s.call.all.Lost > s.call.all.N+3:
 		s.callCap *= 0.95
 	case s.n(atCall) > 0:
 		s.callCap *= 1.05
--- a/internal/ring/spread.go
+++ b/internal/ring/spread.go
@@ -2,10 +2,12 @@
 
 import "math"
 
-// Spread counts durations in bins from 1 ms up, three to a doubling, and adds them up.
+// Spread counts durations in bins from 1 ms up, three to a doubling, and adds them up. Lost is for what
+// had no duration to tell.
 type Spread struct {
 	N    int
 	Sum  float64
+	Lost int
 	bins [48]uint32
 }
 
@@ -20,6 +22,7 @@
 func (s *Spread) Merge(o *Spread) {
 	s.N += o.N
 	s.Sum += o.Sum
+	s.Lost += o.Lost
 	for i, n := range o.bins {
 		s.bins[i] += n
 	}
