--- /dev/null
+++ b/choice/cases_test.go
@@ -0,0 +1,205 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// warm returns a server that has learned runs of 0.5 s of its first stage.
+func warm(t *testing.T, site Site) *plain {
+	p := newPlain(within(site), 1, 100)
+	p.must(t, Event{Kind: Born})
+	for i := range 6 {
+		p.run(t, fmt.Sprint("w", i), 0.5, Finished)
+	}
+	p.till(t, p.now+0.2)
+	return p
+}
+
+func (p *plain) run(t *testing.T, id string, lasts float64, o Outcome) {
+	t.Helper()
+	p.must(t, p.read(id, id, Task{Memory: 1, Wait: 4}))
+	p.till(t, p.now+lasts)
+	p.must(t, p.end(p.tasks[id], o))
+}
+
+func (p *plain) reads(t *testing.T, prefix string, n int, in Task) {
+	t.Helper()
+	for i := range n {
+		id := fmt.Sprint(prefix, i)
+		p.must(t, p.read(id, id, in))
+	}
+}
+
+func TestShortOfTimeIsSentBackAtOnce(t *testing.T) {
+	p := warm(t, Site{AdviceMax: 1})
+	p.reads(t, "short", 1, Task{Memory: 1, Wait: 0.3})
+	if a, ok := p.rejected["short0"]; !ok || a.For != 0 || p.tasks["short0"].ran {
+		t.Fatalf("want a rejection that may come back at once, got %v", p.rejected)
+	}
+	p.reads(t, "long", 1, Task{Memory: 1, Wait: 1})
+	if !p.tasks["long0"].ran {
+		t.Fatal("a task with time for twice the typical run was not run")
+	}
+}
+
+func TestFloorIsCheckedAgainAtTheStart(t *testing.T) {
+	p := warm(t, Site{Cores: 1})
+	p.reads(t, "a", 2, Task{Memory: 1, Wait: 2})
+	p.till(t, p.now+1.8)
+	p.must(t, p.end(p.tasks["a0"], Finished))
+	if p.tasks["a1"].ran || !p.tasks["a1"].answered {
+		t.Fatal("a held task that had become short of time was run or left without an answer")
+	}
+}
+
+func TestFloorHoldsWhileWorkIsHalted(t *testing.T) {
+	p := warm(t, Site{Stages: []Stage{{DueTime: 30, TimeLimit: 60, Utility: 1}}})
+	for i := range 37 { // a low floor in the last 30 s, then 0.5 s again
+		p.run(t, fmt.Sprint("q", i), []float64{0.05, 0.5}[min(i/20, 1)], Finished)
+	}
+	p.reads(t, "stuck", 2, Task{Memory: 1, Wait: 60})
+	p.till(t, p.now+25)
+	p.reads(t, "new", 1, Task{Memory: 1, Wait: 0.3})
+	if _, ok := p.rejected["new0"]; !ok || p.a.stages[0].floor < 0.4 {
+		t.Fatalf("floor fell to %.2f while nothing could end", p.a.stages[0].floor)
+	}
+}
+
+func TestHaltTakesTheServerOffTheList(t *testing.T) {
+	p := warm(t, Site{Free: Odds})
+	p.reads(t, "stuck", 2, Task{Memory: 1, Wait: 4})
+	p.till(t, p.now+3)
+	if !p.a.halted || p.a.share > 0.05 {
+		t.Fatalf("halted %v, share %.2f", p.a.halted, p.a.share)
+	}
+}
+
+// A wait that passes the time limit is not believed.
+func TestRunningTaskIsAnsweredWhenDue(t *testing.T) {
+	for wait, due := range map[float64]float64{1: 1, 1000: 4} {
+		p := warm(t, Site{})
+		p.reads(t, "a", 1, Task{Memory: 1, Wait: wait})
+		p.till(t, p.now+due+0.01)
+		if !p.tasks["a0"].answered {
+			t.Fatalf("no answer at the due moment of a running task told to wait %.0f s", wait)
+		}
+	}
+}
+
+func TestCallCarriesTheRestLessASlush(t *testing.T) {
+	p := warm(t, Site{Below: Tier})
+	p.reads(t, "a", 1, Task{Memory: 1, Wait: 1})
+	p.tasks["a0"].where = "parked"
+	p.must(t, Event{Kind: Parked, ID: "a0"})
+	if left := p.tasks["a0"].limit - p.now; left < 0.98 || left > 0.995 {
+		t.Fatalf("call out for %.3f with 1 s left", left)
+	}
+}
+
+func TestCallsStayUnderTheShare(t *testing.T) {
+	p := warm(t, Site{Cores: 6, Below: Shared, CallShare: 4})
+	for i := range 6 {
+		id := fmt.Sprint("a", i)
+		p.reads(t, id, 1, Task{Memory: 1, Wait: 3})
+		p.tasks[id+"0"].where = "parked"
+		p.must(t, Event{Kind: Parked, ID: id + "0"})
+	}
+	if n := p.count("calling"); n < 1 || n > 3 {
+		t.Fatalf("%d of 6 calls let out at once, share 4", n)
+	}
+}
+
+// Lost calls to a tier must not starve a server whose cores are idle.
+func TestLostCallsKeepTheBoundAtTheCores(t *testing.T) {
+	p := warm(t, Site{Below: Tier})
+	p.reads(t, "a", 1, Task{Memory: 1, Wait: 4})
+	for range 40 {
+		p.tasks["a0"].where = "parked"
+		p.must(t, Event{Kind: Parked, ID: "a0"})
+		p.till(t, p.now+0.05)
+		p.must(t, Event{Kind: CallDone, ID: "a0", Outcome: Bounced})
+	}
+	if p.a.callCap < 2 {
+		t.Fatalf("bound on calls at %.2f with 2 cores", p.a.callCap)
+	}
+}
+
+// Tasks read too late lower the share of traffic that is wanted, and are asked not to try elsewhere.
+func TestUnreadBacklogKeepsTrafficAway(t *testing.T) {
+	p := warm(t, Site{Free: Odds, AdviceMax: 1})
+	for i := range 60 {
+		p.reads(t, fmt.Sprint("late", i, "-"), 1, Task{Memory: 1, Age: 1.9, Wait: 0.2})
+		p.till(t, p.now+0.05)
+	}
+	if a := p.rejected["late59-0"]; p.a.share > 0.5 || !a.Flag {
+		t.Fatalf("share %.2f, last answer %+v", p.a.share, a)
+	}
+}
+
+func TestOverloadIsTurnedAwayWithAdvice(t *testing.T) {
+	p := warm(t, Site{AdviceMax: 1})
+	p.reads(t, "a", 40, Task{Memory: 1, Wait: 4})
+	if n := len(p.rejected); n < 20 || n > 36 {
+		t.Fatalf("%d of 40 turned away at once on 2 cores", n)
+	}
+	for id, a := range p.rejected {
+		if a.For <= 0 || a.For > 1 {
+			t.Fatalf("%s: advice %.2f", id, a.For)
+		}
+	}
+}
+
+func TestHeldTasksStartByDueTime(t *testing.T) {
+	p := warm(t, Site{Cores: 1, Stages: []Stage{{DueTime: 9, TimeLimit: 9, Utility: 3},
+		{DueTime: 5, TimeLimit: 9, Utility: 1}}})
+	p.reads(t, "first", 1, Task{Memory: 1, Wait: 9})
+	p.reads(t, "later", 1, Task{Memory: 1, Wait: 9})
+	p.reads(t, "sooner", 1, Task{Stage: 1, Memory: 1, Wait: 9})
+	p.must(t, p.end(p.tasks["first0"], Finished))
+	if !p.tasks["sooner0"].ran || p.tasks["later0"].ran {
+		t.Fatal("held tasks did not start by due time")
+	}
+}
+
+func TestQuickErrorsTeachNoFloor(t *testing.T) {
+	p := warm(t, Site{})
+	for i := range 20 {
+		p.run(t, fmt.Sprint("e", i), 0.01, Failed)
+	}
+	if p.a.stages[0].floor < 0.4 {
+		t.Fatalf("floor %.2f after quick errors", p.a.stages[0].floor)
+	}
+}
+
+func TestColdServerStartsFewer(t *testing.T) {
+	for _, c := range []struct {
+		cold float64
+		most int
+	}{{0, 8}, {60, 3}} {
+		p := newPlain(within(Site{Cores: 2, ColdFrom: 0.2, ColdFor: c.cold}), 1, 0)
+		p.must(t, Event{Kind: Born})
+		p.reads(t, "a", 20, Task{Memory: 1, Wait: 4})
+		for range 20 {
+			p.now += 0.1
+			p.must(t, Event{Kind: Timer, Gauges: Gauges{Runnable: 0}})
+		}
+		if n := p.count("core"); n > c.most || n < 2 {
+			t.Errorf("cold for %.0f: %d on 2 cores", c.cold, n)
+		}
+	}
+}
+
+func TestDrainRejectsLateArrivalsAndAnswersAll(t *testing.T) {
+	p := warm(t, Site{})
+	p.reads(t, "a", 3, Task{Memory: 1, Wait: 4})
+	p.drainAt, p.killAt = p.now, p.now+1.5
+	p.must(t, Event{Kind: Drain, Took: 1.5})
+	p.till(t, p.now+1.2)
+	p.reads(t, "late", 1, Task{Memory: 1, Wait: 4})
+	if !p.tasks["late0"].answered || p.tasks["late0"].ran {
+		t.Fatal("an arrival after the grace was not rejected at once")
+	}
+	p.till(t, p.killAt)
+	p.must(t)
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -134,7 +134,7 @@
 	end                  float64 // the last moment at which finishing it pays
 	since, own           float64 // in this state; on or near a core so far, without calls and pauses
 	memory, value        float64 // value is the utility, less where its tenant is over its share
-	calls, tries         int     // calls let out, and those of them that did not come back well
+	calls, tries         int     // calls that came back well; tries of the one at hand that did not
 	notTill              float64 // no call before this
 	ran, repeated        bool
 	proven               bool // its last call is known not to have run
@@ -173,15 +173,16 @@
 // Server is one server's instance.
 type Server struct {
 	// Derived at start.
-	seed, draws                                 int64
-	cores, crowd, coldFrom, coldFor             float64 // coldFor is 0 where it was born warm
-	memoryLimit, runFactor, keyMemory           float64
-	drainGrace, overShare, reuseFor, adviceMax  float64
-	leastCalls, mostCalls, callMost, callLinger float64
-	creditFull                                  float64
-	tellsWait, byWork                           bool
-	stopping                                    Stopping
-	free                                        Free
+	seed, draws                                int64
+	cores, crowd, coldFrom, coldFor            float64 // coldFor is 0 where it was born warm
+	memoryLimit, runFactor, keyMemory          float64
+	drainGrace, overShare, reuseFor, adviceMax float64
+	leastCalls, mostCalls, callMost            float64
+	callShare, callLinger                      float64
+	creditFull                                 float64
+	tellsWait, byWork                          bool
+	stopping                                   Stopping
+	free                                       Free
 
 	now, memory                     float64
 	acts                            []Action
@@ -208,13 +209,12 @@
 // New makes an instance for a server that starts now.
 func New(seed int64, site Site) *Server {
 	s := &Server{
-		seed: seed, byID: map[string]*task{}, cores: max(1, float64(site.Cores)),
-		crowd: max(1, site.Crowd), coldFrom: site.ColdFrom, coldFor: site.ColdFor,
-		memoryLimit: site.Memory, adviceMax: site.AdviceMax,
+		seed: seed, byID: map[string]*task{}, cores: max(1, float64(site.Cores)), crowd: max(1, site.Crowd),
+		coldFrom: site.ColdFrom, coldFor: site.ColdFor, memoryLimit: site.Memory, adviceMax: site.AdviceMax,
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
-		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork,
-		callMost: math.Inf(1), typical: 0.25, gauges: Gauges{Runnable: -1}, share: 1, shareTold: 1,
+		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
+		callMost: math.Inf(1), callShare: math.Inf(1), gauges: Gauges{Runnable: -1}, share: 1, shareTold: 1,
 		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
@@ -228,8 +228,9 @@
 	s.leastCalls, s.mostCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
 	if site.Below == Shared {
 		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
-		if site.CallShare < 1 { // one call is over the share: it must not last for the whole window
-			s.callMost = max(slush, site.CallShare*site.CallFor-site.CallLinger)
+		s.callShare = site.CallShare
+		if s.callShare < 1 { // one call is over the share: it must be short, to keep the window's mean
+			s.mostCalls, s.callMost = 0.6*s.callShare, max(slush, 0.3*s.callShare*site.CallFor-s.callLinger)
 		}
 	}
 	for _, st := range site.Stages {
@@ -310,7 +311,7 @@
 	case e.Kind == Ended:
 		s.runEnded(t, e)
 	case e.Kind == Parked:
-		s.lastEnd = s.now
+		s.lastEnd, t.tries = s.now, 0 // another call than the last
 		s.step(t, parked)
 	case e.Kind == CallDone && t.state == calling:
 		s.callDone(t, e)
@@ -356,12 +357,10 @@
 	switch {
 	case s.now >= t.dueAt:
 		s.step(t, due)
-	case t.arrived > s.drainAt+s.drainGrace:
+	case t.arrived > s.drainAt+s.drainGrace, s.used() > 0.95*s.memoryLimit:
 		s.step(t, noRoom)
 	case in.Earlier != "" && (t.repeated || shares):
 		s.step(t, repeats)
-	case s.used() > 0.95*s.memoryLimit:
-		s.step(t, noRoom)
 	case st.Effect == Fingerprinted && s.used()+s.keyMemory > 0.9*s.memoryLimit:
 		s.step(t, noRoom) // without its entry a repeat would bear no mark and run too: no entry, no run
 	case st.Effect == Fingerprinted:
@@ -388,7 +387,7 @@
 	// A quick error or a run cut short would teach too low a floor; one cut after the floor is a bound.
 	if t.ran && t.state == over && (e.Outcome == Finished || t.own > t.stage.floor) {
 		t.stage.log.At(s.now).Add(t.own)
-		t.stage.calls += 0.05 * (float64(t.calls-t.tries) - t.stage.calls) // the last 20 tell
+		t.stage.calls += 0.05 * (float64(t.calls) - t.stage.calls) // the last 20 tell
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
 		s.armGain += t.value
@@ -609,6 +608,7 @@
 	b := s.call.log.At(s.now)
 	if e.Outcome == Finished {
 		b.Add(e.Took)
+		t.calls++
 		s.step(t, back)
 		return
 	}
@@ -665,7 +665,8 @@
 		order = byUtility
 	}
 	for s.crowdRoom() {
-		if out := s.out(); out >= s.callCap || out+1 > s.callCap && s.callCredit <= 0 {
+		out := s.out()
+		if out+1 > s.callCap && (out >= s.callCap || s.callCredit <= 0 || out > 0 && out+1 > s.callShare) {
 			return
 		}
 		t := s.first(func(t *task) bool {
@@ -724,7 +725,6 @@
 }
 
 func (s *Server) invoke(t *task) {
-	t.calls++
 	s.act(Action{Kind: Call, ID: t.id, For: min(t.dueAt-s.now-slush, s.callMost)})
 }
 
--- /dev/null
+++ b/choice/helpers_test.go
@@ -0,0 +1,301 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+)
+
+// plain is a slow, plain model of what the rules allow one server, fed with the events and actions of
+// an instance. It holds no decision: whatever breaks a rule comes back as an error.
+type plain struct {
+	site     Site
+	a, b     *Server // twins: the same events must give the same actions
+	now      float64
+	born     float64
+	tasks    map[string]*plainTask
+	ids      []string
+	keys     map[string]float64
+	timers   []float64
+	drainAt  float64
+	killAt   float64
+	lingers  []float64
+	rejected map[string]Action
+	inHand   [][2]float64 // times and calls
+}
+
+type plainTask struct {
+	id, identity         string
+	stage                Stage
+	where                string // held, sharing, core, parked, calling, paused, over
+	arrived, due, readAt float64
+	memory               float64
+	answered, gone, ran  bool
+	called, stopPending  bool
+	unproven, hasEarlier bool
+	limit                float64 // time-out of its call
+}
+
+func newPlain(site Site, seed int64, now float64) *plain {
+	p := &plain{site: site, a: New(seed, site), b: New(seed, site), now: now, born: now, keys: map[string]float64{},
+		tasks: map[string]*plainTask{}, drainAt: math.Inf(1), killAt: math.Inf(1), rejected: map[string]Action{}}
+	return p
+}
+
+func (p *plain) count(where string) (n int) {
+	for _, t := range p.tasks {
+		if t.where == where {
+			n++
+		}
+	}
+	return n
+}
+
+// read makes the event of a task that reaches the server and puts it in the model.
+func (p *plain) read(id, identity string, in Task) Event {
+	st := p.site.Stages[in.Stage]
+	t := &plainTask{id: id, identity: identity, stage: st, where: "held", arrived: p.now - in.Age,
+		readAt: p.now, memory: in.Memory}
+	t.due = max(p.now, t.arrived+st.TimeLimit)
+	if in.Wait > 0 {
+		t.due = p.now + in.Wait
+	}
+	if st.Effect == Fingerprinted {
+		for _, other := range p.ids { // what holds an entry, or came in the same batch
+			o := p.tasks[other]
+			if o.identity != identity {
+				continue
+			}
+			if (p.keys[o.id] >= t.arrived || o.readAt == p.now) && (o.where == "held" || o.ran) {
+				in.Earlier = o.id
+			}
+		}
+	}
+	t.hasEarlier = in.Earlier != ""
+	p.tasks[id] = t
+	p.ids = append(p.ids, id)
+	return Event{Kind: Read, ID: id, Task: in}
+}
+
+// end makes the event of a run that ends.
+func (p *plain) end(t *plainTask, o Outcome) Event {
+	t.where = "over"
+	t.answered = t.answered || o == Finished || o == Failed
+	return Event{Kind: Ended, ID: t.id, Outcome: o, Took: 0.1}
+}
+
+// batch hands the events to both twins, applies what they answer and checks the rules.
+func (p *plain) batch(events ...Event) error {
+	acts := append([]Action(nil), p.a.Decide(p.now, events)...)
+	if twin := p.b.Decide(p.now, events); len(acts)+len(twin) > 0 && !reflect.DeepEqual(acts, twin) {
+		return fmt.Errorf("twins differ: %v against %v", acts, twin)
+	}
+	for _, act := range acts {
+		if err := p.apply(act); err != nil {
+			return fmt.Errorf("%+v at %.3f: %w", act, p.now, err)
+		}
+	}
+	return p.rules()
+}
+
+func (p *plain) apply(a Action) error {
+	switch a.Kind {
+	case SetTimer:
+		p.timers = append(p.timers, p.now+a.For)
+		return check(a.For >= 0, "timer in the past")
+	case SetFree:
+		return check(p.site.Free != NoFree && a.Value >= 0, "free value not allowed")
+	case Health, Idle, Note:
+		return nil
+	}
+	t := p.tasks[a.ID]
+	if t == nil {
+		return fmt.Errorf("unknown task")
+	}
+	is := func(where ...string) bool {
+		for _, w := range where {
+			if t.where == w {
+				return true
+			}
+		}
+		return false
+	}
+	switch a.Kind {
+	case Start:
+		if !is("held", "paused") || t.answered || t.gone {
+			return fmt.Errorf("starts a task that is %s", t.where)
+		}
+		if t.where == "held" {
+			if t.arrived > p.drainAt+p.site.DrainGrace {
+				return fmt.Errorf("runs what came after the grace")
+			}
+			if p.twin(t) {
+				return fmt.Errorf("runs a second try")
+			}
+		}
+		t.where, t.ran = "core", true
+	case Reject, Abandon:
+		if t.answered || t.gone {
+			return fmt.Errorf("answers twice")
+		}
+		if a.Kind == Reject && (t.ran || !is("held") || t.hasEarlier && p.twin(t)) {
+			return fmt.Errorf("rejects what ran")
+		}
+		p.rejected[a.ID] = a
+		t.answered = true
+		if t.where == "calling" {
+			p.lingers = append(p.lingers, p.now+p.site.CallLinger)
+		}
+		if is("held", "paused", "sharing") {
+			t.where = "over"
+		}
+	case TakeOff:
+		if p.site.Stopping == NoStop {
+			return fmt.Errorf("stops where it can't")
+		}
+		t.stopPending = t.where == "core"
+	case Call:
+		if !is("parked") || t.answered || a.For <= 0 || p.now+a.For > t.due {
+			return fmt.Errorf("call from %s for %.3f", t.where, a.For)
+		}
+		if t.called && t.unproven && t.stage.Effect != Restartable {
+			return fmt.Errorf("repeats a call that may have had its effect")
+		}
+		t.where, t.called, t.unproven, t.limit = "calling", true, true, p.now+a.For
+	case Skip:
+		if !is("parked") || t.stage.SkipUtility == 0 {
+			return fmt.Errorf("skips a call it must not")
+		}
+		t.where = "core"
+	case Keep:
+		p.keys[a.ID] = p.now + a.For
+	case Forget:
+		delete(p.keys, a.ID)
+	case Reuse:
+		t.where = "sharing"
+		return check(t.hasEarlier, "repeats nothing")
+	}
+	return nil
+}
+
+// twin tells whether another try of a fingerprinted task has run within its window.
+func (p *plain) twin(t *plainTask) bool {
+	for _, o := range p.tasks {
+		if t.stage.Effect == Fingerprinted && o != t && o.ran && o.identity == t.identity &&
+			math.Abs(o.arrived-t.arrived) <= t.stage.Window {
+			return true
+		}
+	}
+	return false
+}
+
+func check(ok bool, what string) error {
+	if !ok {
+		return fmt.Errorf("%s", what)
+	}
+	return nil
+}
+
+// rules checks what must hold once a batch is answered.
+func (p *plain) rules() error {
+	memory, speed := 0.0, 1.0
+	for _, until := range p.keys {
+		if until >= p.now {
+			memory += p.site.KeyMemory
+		}
+	}
+	for _, id := range p.ids {
+		t := p.tasks[id]
+		switch t.where {
+		case "over":
+		case "held", "sharing":
+			memory += t.memory
+		default:
+			memory += t.memory * p.site.RunFactor
+		}
+		if !t.answered && !t.gone && (p.now > t.due+p.site.AnswerSlack || p.now >= p.killAt) {
+			return fmt.Errorf("task %s lost: due %.3f, now %.3f", id, t.due, p.now)
+		}
+	}
+	if age := p.now - p.born; age < p.site.ColdFor {
+		speed = p.site.ColdFrom + (1-p.site.ColdFrom)*age/p.site.ColdFor
+	}
+	calls := p.count("calling")
+	for _, until := range p.lingers {
+		if until > p.now {
+			calls++
+		}
+	}
+	switch {
+	case memory > p.site.Memory:
+		return fmt.Errorf("memory %.0f over %.0f", memory, p.site.Memory)
+	case float64(p.count("core")) > float64(p.site.Cores)*(1+(p.site.Crowd-1)*speed):
+		return fmt.Errorf("%d crowd the cores", p.count("core"))
+	}
+	// What was in hand until the next batch is taken as if it had been so since this one.
+	p.inHand = append(p.inHand, [2]float64{p.now, float64(calls)})
+	sum := 0.0
+	for i, end := len(p.inHand)-1, p.now; i > 0 && end > p.now-p.site.CallFor; i-- {
+		sum += p.inHand[i-1][1] * (end - max(p.inHand[i-1][0], p.now-p.site.CallFor))
+		end = p.inHand[i-1][0]
+	}
+	if p.site.Below == Shared && sum/p.site.CallFor > p.site.CallShare {
+		return fmt.Errorf("%.2f calls over the share", sum/p.site.CallFor)
+	}
+	return nil
+}
+
+// must fails the test on a broken rule.
+func (p *plain) must(t *testing.T, events ...Event) {
+	t.Helper()
+	if err := p.batch(events...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// till lets the timers go off up to then.
+func (p *plain) till(t *testing.T, then float64) {
+	t.Helper()
+	for p.next() <= then {
+		p.now = p.next()
+		p.must(t, p.ring())
+	}
+	p.now = then
+}
+
+// next is when the earliest timer goes off.
+func (p *plain) next() float64 {
+	next := math.Inf(1)
+	for _, at := range p.timers {
+		next = min(next, at)
+	}
+	return next
+}
+
+// ring takes out the timers that are due and makes their event.
+func (p *plain) ring() Event {
+	var later []float64
+	for _, at := range p.timers {
+		if at > p.now {
+			later = append(later, at)
+		}
+	}
+	p.timers = later
+	return Event{Kind: Timer, Gauges: Gauges{Busy: 0.9, Runnable: float64(p.count("core"))}}
+}
+
+func within(site Site) Site {
+	if site.Stages == nil {
+		site.Stages = []Stage{{DueTime: 2, TimeLimit: 4, Utility: 1, Calls: true}}
+	}
+	if site.Cores == 0 {
+		site.Cores = 2
+	}
+	if site.Memory == 0 {
+		site.Memory = 1e6
+	}
+	site.RunFactor, site.Crowd, site.CrowdFor, site.AnswerSlack = 4, 4, 2, 0.05
+	site.TellsWait, site.DrainGrace, site.CallLinger, site.CallFor = true, 1, 0.2, 5
+	return site
+}
