The hold's wait takes up to a quarter of a task's time to spare

Cause: runs vary, so tasks that waited for most of their spare time ended late, and a task turned away early can still go elsewhere.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -568,8 +568,8 @@
 		}
 		ahead += run
 		aheadCalls += away
-		// Runs vary: a wait that took more than 0.6 of the time to spare would start tasks that end late.
-		if wait == 0 || wait <= 0.6*(t.end-s.now-run-away) {
+		// Runs vary: a wait over a quarter of the time to spare would start tasks that end late.
+		if wait == 0 || wait <= 0.25*(t.end-s.now-run-away) {
 			continue
 		}
 		worst := i
