--- a/choice/choice.go
+++ b/choice/choice.go
@@ -337,10 +337,10 @@
 		t.dueAt = min(s.now+in.Wait, t.dueAt)
 	}
 	t.dueAt = min(max(t.dueAt, s.now), s.lastAnswer())
-	t.goal = min(t.arrived+min(st.DueTime+st.DueStretch*in.Hint, st.TimeLimit), t.dueAt)
+	t.goal = t.arrived + min(st.DueTime+st.DueStretch*in.Hint, st.TimeLimit)
 	t.end = t.dueAt
 	if st.LateUtility < 0.5 { // exception: answers after the due time block what earns more
-		t.end = t.goal
+		t.end = min(t.goal, t.dueAt)
 	}
 	if s.byWork && in.Hint > 0 {
 		t.value *= in.Hint
