--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -172,20 +172,32 @@
 	}
 }
 
+// Waits that pass the floor, yet run out before the run ends, must not go on filling the cores.
+func TestRunsInVainRaiseWhatMustBeLeft(t *testing.T) {
+	p := warm(t, Site{})
+	for i := range 20 {
+		id := fmt.Sprint("thin", i)
+		p.must(t, p.read(id, id, Task{Memory: 1, Wait: 0.6}))
+		if p.till(t, p.now+0.7); p.tasks[id].ran {
+			p.must(t, p.end(p.tasks[id], Finished))
+		}
+	}
+	if p.tasks["thin19"].ran || !p.tasks["thin0"].ran {
+		t.Fatal("thin waits still run in vain")
+	}
+}
+
 func TestColdServerStartsFewer(t *testing.T) {
-	for _, c := range []struct {
-		cold float64
-		most int
-	}{{0, 8}, {60, 3}} {
-		p := newPlain(within(Site{Cores: 2, ColdFrom: 0.2, ColdFor: c.cold}), 1, 0)
+	for cold, most := range map[float64]int{0: 8, 60: 3} {
+		p := newPlain(within(Site{Cores: 2, ColdFrom: 0.2, ColdFor: cold}), 1, 0)
 		p.must(t, Event{Kind: Born})
 		p.reads(t, "a", 20, Task{Memory: 1, Wait: 4})
 		for range 20 {
 			p.now += 0.1
 			p.must(t, Event{Kind: Timer, Gauges: Gauges{Runnable: 0}})
 		}
-		if n := p.count("core"); n > c.most || n < 2 {
-			t.Errorf("cold for %.0f: %d on 2 cores", c.cold, n)
+		if n := p.count("core"); n > most || n < 2 {
+			t.Errorf("cold for %.0f: %d on 2 cores", cold, n)
 		}
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,10 +84,10 @@
 	{answered, stopped, over, nil},
 }
 
-// step feeds one input to a task's life and keeps the counts that follow from states.
-func (s *Server) step(t *task, on input) {
+// step feeds one input to a task's life, books what follows from states and tells whether a row fitted.
+func (s *Server) step(t *task, on input) bool {
 	for _, r := range life {
-		if r.in&t.state == 0 || r.on&on == 0 {
+		if t == nil || r.in&t.state == 0 || r.on&on == 0 {
 			continue
 		}
 		s.bookCalls()
@@ -104,8 +104,9 @@
 		if r.do != nil {
 			r.do(s, t)
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // weight is the memory that a task takes in its state.
@@ -166,7 +167,9 @@
 type stage struct {
 	Stage
 	learned
-	floor float64 // typical own run: what must be left of a task's wait
+	floor float64 // typical own run
+	vain  float64 // part of the runs whose caller had left before their end
+	need  float64 // what must be left of a task's wait
 	calls float64 // mean calls of a run
 }
 
@@ -380,6 +383,10 @@
 func (s *Server) runEnded(t *task, e *Event) {
 	s.lastEnd = s.now
 	was, on := t.state, ended
+	t.stage.vain *= 0.95 // the last 20 runs tell
+	if was == answered && s.now >= t.dueAt {
+		t.stage.vain += 0.05
+	}
 	if e.Outcome == Stopped || e.Outcome == NeverStarted {
 		on = stopped
 	}
@@ -405,15 +412,15 @@
 		// are no ends then because none can end, and a lower floor would let in what cannot either.
 		st.floor += 0.05 * min(st.lowest.Min(s.now)-st.floor, 0)
 	}
-	st.floor = min(st.floor, st.TimeLimit/2)
+	// Exception for thin waits, which pass the floor and yet run out at calls or in long runs: as far as
+	// one run in three ends in vain, the usual time at calls and a second run must be left too.
+	st.need = st.floor + min(1, 3*st.vain)*(st.mean+st.calls*s.call.mean)
+	st.need = min(st.need, st.TimeLimit/2)
 }
 
 // crowdLimit is what the cores survive, cold or warm: a ceiling. A fifth is kept free.
 func (s *Server) crowdLimit() float64 {
-	speed := 1.0
-	if age := s.now - s.born; age < s.coldFor {
-		speed = s.coldFrom + (1-s.coldFrom)*age/s.coldFor
-	}
+	speed := s.coldFrom + (1-s.coldFrom)*min(1, (s.now-s.born+1e-9)/max(s.coldFor, 1e-9))
 	return max(1, 0.8*s.cores*(1+(s.crowd-1)*speed))
 }
 
@@ -503,7 +510,7 @@
 		switch {
 		case s.now >= t.dueAt-1e-3, vain && (s.stopping != NoStop || t.state == atCall || t.state == paused):
 			s.step(t, due)
-		case t.end-s.now < t.stage.floor:
+		case t.end-s.now < t.stage.need:
 			s.step(t, short)
 		}
 	}
@@ -526,12 +533,7 @@
 
 // judgeRoom starts held tasks by due time while the cap, the crowd and the memory allow.
 func (s *Server) judgeRoom() {
-	for s.n(onCore) < s.runCap && s.crowdRoom() {
-		t := s.first(s.startable, byGoal)
-		if t == nil {
-			return
-		}
-		s.step(t, room)
+	for s.n(onCore) < s.runCap && s.crowdRoom() && s.step(s.first(s.startable, byGoal), room) {
 	}
 }
 
@@ -669,13 +671,10 @@
 		if out+1 > s.callCap && (out >= s.callCap || s.callCredit <= 0 || out > 0 && out+1 > s.callShare) {
 			return
 		}
-		t := s.first(func(t *task) bool {
-			return t.state == atCall && t.notTill <= s.now && t.mayCall()
-		}, order)
-		if t == nil {
+		ready := func(t *task) bool { return t.state == atCall && t.notTill <= s.now && t.mayCall() }
+		if !s.step(s.first(ready, order), letOut) {
 			return
 		}
-		s.step(t, letOut)
 	}
 }
 
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -4,25 +4,24 @@
 	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 )
 
 // plain is a slow, plain model of what the rules allow one server, fed with the events and actions of
 // an instance. It holds no decision: whatever breaks a rule comes back as an error.
 type plain struct {
-	site     Site
-	a, b     *Server // twins: the same events must give the same actions
-	now      float64
-	born     float64
-	tasks    map[string]*plainTask
-	ids      []string
-	keys     map[string]float64
-	timers   []float64
-	drainAt  float64
-	killAt   float64
-	lingers  []float64
-	rejected map[string]Action
-	inHand   [][2]float64 // times and calls
+	site            Site
+	a, b            *Server // twins: the same events must give the same actions
+	now             float64
+	born            float64
+	tasks           map[string]*plainTask
+	ids             []string
+	keys            map[string]float64
+	timers, lingers []float64
+	drainAt, killAt float64
+	rejected        map[string]Action
+	inHand          [][2]float64 // times and calls
 }
 
 type plainTask struct {
@@ -38,9 +37,8 @@
 }
 
 func newPlain(site Site, seed int64, now float64) *plain {
-	p := &plain{site: site, a: New(seed, site), b: New(seed, site), now: now, born: now, keys: map[string]float64{},
+	return &plain{site: site, a: New(seed, site), b: New(seed, site), now: now, born: now, keys: map[string]float64{},
 		tasks: map[string]*plainTask{}, drainAt: math.Inf(1), killAt: math.Inf(1), rejected: map[string]Action{}}
-	return p
 }
 
 func (p *plain) count(where string) (n int) {
@@ -113,14 +111,7 @@
 	if t == nil {
 		return fmt.Errorf("unknown task")
 	}
-	is := func(where ...string) bool {
-		for _, w := range where {
-			if t.where == w {
-				return true
-			}
-		}
-		return false
-	}
+	is := func(where ...string) bool { return slices.Contains(where, t.where) }
 	switch a.Kind {
 	case Start:
 		if !is("held", "paused") || t.answered || t.gone {
@@ -151,10 +142,8 @@
 			t.where = "over"
 		}
 	case TakeOff:
-		if p.site.Stopping == NoStop {
-			return fmt.Errorf("stops where it can't")
-		}
 		t.stopPending = t.where == "core"
+		return check(p.site.Stopping != NoStop, "stops where it can't")
 	case Call:
 		if !is("parked") || t.answered || a.For <= 0 || p.now+a.For > t.due {
 			return fmt.Errorf("call from %s for %.3f", t.where, a.For)
@@ -164,10 +153,9 @@
 		}
 		t.where, t.called, t.unproven, t.limit = "calling", true, true, p.now+a.For
 	case Skip:
-		if !is("parked") || t.stage.SkipUtility == 0 {
-			return fmt.Errorf("skips a call it must not")
-		}
+		ok := is("parked") && t.stage.SkipUtility > 0
 		t.where = "core"
+		return check(ok, "skips a call it must not")
 	case Keep:
 		p.keys[a.ID] = p.now + a.For
 	case Forget:
