--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -125,14 +125,15 @@
 	}
 }
 
-// Tasks read too late lower the share of traffic that is wanted, and are asked not to try elsewhere.
+// Tasks read too late lower the share of traffic wanted and are asked not to try elsewhere; where none is
+// finished in time any more the server leaves the list.
 func TestUnreadBacklogKeepsTrafficAway(t *testing.T) {
 	p := warm(t, Site{Free: Odds, AdviceMax: 1})
 	for i := range 60 {
 		p.reads(t, fmt.Sprint("late", i, "-"), 1, Task{Memory: 1, Age: 1.9, Wait: 0.2})
 		p.till(t, p.now+0.05)
 	}
-	if a := p.rejected["late59-0"]; p.a.share > 0.5 || !a.Flag {
+	if a := p.rejected["late59-0"]; p.a.share > 0.1 || !a.Flag || !p.a.halted {
 		t.Fatalf("share %.2f, last answer %+v", p.a.share, a)
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -159,9 +159,7 @@
 func (l *learned) refresh(now float64) {
 	l.all = ring.Spread{}
 	l.log.All(now, l.all.Merge)
-	if l.all.N > 0 {
-		l.mean = l.all.Sum / float64(l.all.N)
-	}
+	l.mean = l.all.Mean(l.mean)
 }
 
 type stage struct {
@@ -175,14 +173,13 @@
 
 // Server is one server's instance.
 type Server struct {
-	// Derived at start.
 	seed, draws                                int64
 	cores, crowd, coldFrom, coldFor            float64 // coldFor is 0 where it was born warm
 	memoryLimit, runFactor, keyMemory          float64
 	drainGrace, overShare, reuseFor, adviceMax float64
 	leastCalls, mostCalls, callMost            float64
 	callShare, callLinger                      float64
-	creditFull                                 float64
+	creditFull, patience                       float64 // patience is a quarter of the shortest due time
 	tellsWait, byWork                          bool
 	stopping                                   Stopping
 	free                                       Free
@@ -196,7 +193,7 @@
 	keys, lingering                 ring.Expiring // entries kept; given-up calls still held below
 	born, drainAt, killAt           float64
 	tickAt, armed                   float64 // armed is when the earliest timer goes off
-	lastEnd, typical                float64 // when work last got on; the longest mean run
+	lastEnd, lastTimely, typical    float64 // when work last got on, and paid; the longest mean run
 	runCap, armTill, armGain        float64
 	arms                            [2]float64 // what each arm of the bandit earned
 	arm                             int
@@ -217,8 +214,8 @@
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
-		callMost: math.Inf(1), callShare: math.Inf(1), gauges: Gauges{Runnable: -1}, share: 1, shareTold: 1,
-		armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
+		callMost: math.Inf(1), callShare: math.Inf(1), patience: math.Inf(1), gauges: Gauges{Runnable: -1},
+		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
@@ -238,6 +235,7 @@
 	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st})
+		s.patience = min(s.patience, st.DueTime/4)
 	}
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
@@ -249,7 +247,7 @@
 
 // begin sets what needs the time of the first batch.
 func (s *Server) begin() {
-	s.born, s.tickAt, s.lastEnd, s.callBooked, s.armTill = s.now, s.now, s.now, s.now, s.now+1
+	s.born, s.tickAt, s.lastEnd, s.lastTimely, s.callBooked = s.now, s.now, s.now, s.now, s.now
 	for i := range s.stages {
 		// 8 s: some tens of runs on a busy server, yet a slow-down of a few seconds still shows.
 		s.stages[i].learned = newLearned(s.now, 8)
@@ -397,6 +395,7 @@
 		t.stage.calls += 0.05 * (float64(t.calls) - t.stage.calls) // the last 20 tell
 	}
 	if e.Outcome == Finished && was != answered && s.now <= t.goal {
+		s.lastTimely = s.now
 		s.armGain += t.value
 	}
 }
@@ -430,7 +429,10 @@
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
 	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
-	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical
+	// Or all is read too late, and nothing has been finished in time for 3 s.
+	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical ||
+		s.lag > s.patience && s.now-s.lastTimely > 3
+	s.lag *= 0.98 // forgotten in seconds where nothing is read any more
 	if halted != s.halted && !s.draining() {
 		s.act(Action{Kind: Health, Flag: !halted})
 	}
@@ -473,15 +475,15 @@
 // tuneShare says how much of the usual traffic is wanted: less at once when tasks are turned away, more
 // again in small steps. Reading costs too, so tasks read too late to run count like those turned away.
 func (s *Server) tuneShare() {
-	s.share = min(1, s.share+0.02)
-	if s.unmet > 0 {
-		s.share = max(0.05, s.share*0.93)
-	}
-	if s.halted {
-		s.share = 0.05
-	}
-	if s.draining() {
+	switch {
+	case s.draining():
 		s.share = 0
+	case s.halted:
+		s.share = 0.05
+	case s.unmet > 0:
+		s.share = max(0.05, s.share*0.93)
+	case s.lag < s.patience:
+		s.share = min(1, s.share+0.02)
 	}
 	s.unmet = 0
 	told := math.Round(s.share*50) / 50 // smaller steps would only add messages
@@ -678,8 +680,6 @@
 	}
 }
 
-// The effects that the table names.
-
 func (s *Server) start(t *task) {
 	t.ran = true
 	s.act(Action{Kind: Start, ID: t.id})
@@ -702,7 +702,7 @@
 	s.unmet++
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: s.lag > 0.25*t.stage.DueTime || s.share < 0.3})
+		Flag: s.lag > s.patience || s.share < 0.3})
 }
 
 // forget gives a task's entry in the table back.
--- a/internal/ring/spread.go
+++ b/internal/ring/spread.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Mean is that of the durations counted, or what is given where there are none.
+func (s *Spread) Mean(or float64) float64 {
+	if s.N == 0 {
+		return or
+	}
+	return s.Sum / float64(s.N)
+}
+
 // Median is the middle of the bin in which the middle duration fell, 0 where there is none.
 func (s *Spread) Median() float64 {
 	half := s.N / 2
