--- a/choice/choice.go
+++ b/choice/choice.go
@@ -702,7 +702,7 @@
 	s.unmet++
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: s.lag > s.patience || s.share < 0.3})
+		Flag: s.lag > s.patience || s.share < 0.4})
 }
 
 // forget gives a task's entry in the table back.
