Expired fingerprinted work is not stopped: a repeat may want its answer

Cause: on a site copy with fingerprinted tasks and hasty callers each first try was stopped when its short wait ran out, and the repeat that waited for its answer got an error.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -718,7 +718,7 @@
 }
 
 func (s *Server) takeOff(t *task) {
-	if s.stopping != NoStop {
+	if s.stopping != NoStop && t.stage.Effect != Fingerprinted { // a repeat may still want the answer of that
 		s.act(Action{Kind: TakeOff, ID: t.id})
 	}
 }
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -143,7 +143,7 @@
 		}
 	case TakeOff:
 		t.stopPending = t.where == "core"
-		return check(p.site.Stopping != NoStop, "stops where it can't")
+		return check(p.site.Stopping != NoStop && t.stage.Effect != Fingerprinted, "stops what it must not")
 	case Call:
 		if !is("parked") || t.answered || a.For <= 0 || p.now+a.For > t.due {
 			return fmt.Errorf("call from %s for %.3f", t.where, a.For)
