--- a/choice/choice.go
+++ b/choice/choice.go
@@ -169,6 +169,7 @@
 	vain  float64 // part of the runs whose caller had left before their end
 	need  float64 // what must be left of a task's wait
 	calls float64 // mean calls of a run
+	runs  float64 // part of its tasks that were run rather than turned away, of the last 50 or so
 }
 
 // Server is one server's instance.
@@ -234,7 +235,7 @@
 		}
 	}
 	for _, st := range site.Stages {
-		s.stages = append(s.stages, stage{Stage: st})
+		s.stages = append(s.stages, stage{Stage: st, runs: 1})
 		s.patience = min(s.patience, st.DueTime/4)
 	}
 	for _, tn := range site.Tenants {
@@ -323,8 +324,7 @@
 
 func (s *Server) draining() bool { return !math.IsInf(s.killAt, 1) }
 
-// lastAnswer is when a draining server must have answered all: three hundredths before the kill are
-// several ticks of any site known.
+// lastAnswer is when a draining server must have answered all: several ticks of any site before the kill.
 func (s *Server) lastAnswer() float64 { return s.killAt - 0.03 }
 
 // read takes a task in. Its due moment never changes but for a drain.
@@ -428,8 +428,7 @@
 
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
-	// Halted: the cores are taken, yet nothing has got on for far longer than a run takes.
-	// Or all is read too late, and nothing has been finished in time for 3 s.
+	// Halted: the cores are taken yet nothing got on for 4 runs, or all is read too late for 3 s.
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical ||
 		s.lag > s.patience && s.now-s.lastTimely > 3
 	s.lag *= 0.98 // forgotten in seconds where nothing is read any more
@@ -559,8 +558,7 @@
 func (s *Server) judgeHold() {
 	line := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != held })
 	slices.SortStableFunc(line, byGoal)
-	// Runs take longer than learned when work slows or halts, and ends come later than usual: that
-	// shows before any end has told so.
+	// Ends that come late stretch the expected runs, before any slow run has ended.
 	strain := max(1, (s.now-s.lastEnd)*s.n(onCore)/(4*s.typical))
 	ahead, aheadCalls := 0.0, s.n(atCall)*s.call.mean
 	for i := 0; i < len(line); i++ {
@@ -590,17 +588,17 @@
 	}
 }
 
-// density is what a task brings for the share that it takes of the cores and of the calls.
+// density is what a task brings for what it takes of cores and calls; it counts for more the fewer of its
+// stage are run, or the least useful stage alone would be turned away.
 func (s *Server) density(t *task) float64 {
 	takes := t.stage.mean/s.runCap + t.stage.calls*s.call.mean/s.callCap
-	return t.value / max(takes, 1e-4)
+	return t.value / max(takes*t.stage.runs, 1e-4)
 }
 
 // out counts the calls in hand, those included that were given up but may still be held below.
 func (s *Server) out() float64 { return s.n(calling) + float64(len(s.lingering)) }
 
-// bookCalls keeps the credit: where the cap is not a whole number, what was left unused of it lets one
-// more out now and then.
+// bookCalls keeps what was left unused of a cap that is no whole number: it lets one more out at times.
 func (s *Server) bookCalls() {
 	unused := s.callCap - s.out()
 	s.callCredit = min(s.callCap, 1, s.callCredit+unused*(s.now-s.callBooked))
@@ -682,6 +680,7 @@
 
 func (s *Server) start(t *task) {
 	t.ran = true
+	t.stage.runs += 0.02 * (1 - t.stage.runs)
 	s.act(Action{Kind: Start, ID: t.id})
 }
 
@@ -689,6 +688,7 @@
 
 // sendAway says when to come back: when the hold as it stands has been run.
 func (s *Server) sendAway(t *task) {
+	t.stage.runs *= 0.98
 	s.turnAway(t, min(s.adviceMax, max(0.1, s.n(held)*s.typical/s.runCap)))
 }
 
