--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -61,17 +61,19 @@
 	p.reads(t, "stuck", 2, Task{Memory: 1, Wait: 60})
 	p.till(t, p.now+25)
 	p.reads(t, "new", 1, Task{Memory: 1, Wait: 0.3})
-	if _, ok := p.rejected["new0"]; !ok || p.a.stages[0].floor < 0.4 {
-		t.Fatalf("floor fell to %.2f while nothing could end", p.a.stages[0].floor)
+	if _, ok := p.rejected["new0"]; !ok || p.a.stages[0].floor < 0.4 || !p.a.halted || p.a.share > 0.05 {
+		t.Fatalf("floor %.2f, halted %v, share %.2f", p.a.stages[0].floor, p.a.halted, p.a.share)
 	}
 }
 
-func TestHaltTakesTheServerOffTheList(t *testing.T) {
-	p := warm(t, Site{Free: Odds})
-	p.reads(t, "stuck", 2, Task{Memory: 1, Wait: 4})
-	p.till(t, p.now+3)
-	if !p.a.halted || p.a.share > 0.05 {
-		t.Fatalf("halted %v, share %.2f", p.a.halted, p.a.share)
+// Under overload the least useful stage must not be the only one turned away.
+func TestStageCountsForMoreTheFewerAreRun(t *testing.T) {
+	p := warm(t, Site{})
+	p.reads(t, "a", 40, Task{Memory: 1, Wait: 4})
+	few, most := &p.a.stages[0], p.a.stages[0]
+	most.runs = 1
+	if p.a.density(&task{stage: few, value: 1}) < 1.3*p.a.density(&task{stage: &most, value: 1}) {
+		t.Fatalf("%.2f of the stage are run, yet it counts as any", few.runs)
 	}
 }
 
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"slices"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // plain is a slow, plain model of what the rules allow one server, fed with the events and actions of
@@ -235,7 +237,7 @@
 }
 
 // must fails the test on a broken rule.
-func (p *plain) must(t *testing.T, events ...Event) {
+func (p *plain) must(t rapid.TB, events ...Event) {
 	t.Helper()
 	if err := p.batch(events...); err != nil {
 		t.Fatal(err)
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -45,9 +45,7 @@
 func TestRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPlain(drawSite(t), rapid.Int64().Draw(t, "seed"), rapid.Float64Range(0, 1e5).Draw(t, "clock"))
-		if err := p.batch(Event{Kind: Born}); err != nil {
-			t.Fatal(err)
-		}
+		p.must(t, Event{Kind: Born})
 		steps := rapid.IntRange(10, 60).Draw(t, "steps")
 		drainStep := rapid.IntRange(0, 2*steps).Draw(t, "drain")
 		for i := 0; i < steps && p.now < p.killAt; i++ {
@@ -72,9 +70,7 @@
 				identity := fmt.Sprint(in.Stage, rapid.IntRange(0, 5).Draw(t, "identity"))
 				events = append(events, p.read(fmt.Sprint("t", len(p.ids)), identity, in))
 			}
-			if err := p.batch(events...); err != nil {
-				t.Fatal(err)
-			}
+			p.must(t, events...)
 		}
 		// Nothing ends any more: the timers alone must answer all.
 		for last := p.now + 20; p.next() <= last && p.now < p.killAt; {
@@ -85,9 +81,7 @@
 					events = append(events, p.lost(task))
 				}
 			}
-			if err := p.batch(events...); err != nil {
-				t.Fatal(err)
-			}
+			p.must(t, events...)
 		}
 		for _, id := range p.ids {
 			if task := p.tasks[id]; !task.answered && !task.gone && !math.IsInf(p.next(), 1) {
