Connections of callers that come back seldom are closed at once

Cause: at full size 740 to 1,000 callers share 220 to 320 servers, each coming back to a server every few minutes, yet its connection was kept for 30 s: the table was full, which takes a quarter to a third of a server, and 57 to 80% of the attempts got no connection. So it is decided by how often a caller comes back: told callers times the mean time between reads, over 8 s.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// Connections of callers that come back seldom must not fill the table; those of a few busy callers stay.
+func TestSeldomCallersAreNotKept(t *testing.T) {
+	for callers, want := range map[int]float64{4: 0, 900: 0.05} {
+		p := warm(t, Site{Callers: callers})
+		if p.idle != want {
+			t.Errorf("%d callers: connections closed after %.2f s", callers, p.idle)
+		}
+	}
+}
+
 func TestQuickErrorsTeachNoFloor(t *testing.T) {
 	p := warm(t, Site{})
 	for i := range 20 {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,13 +25,11 @@
 	held    state = 1 << iota
 	sharing       // waits for the answer of the task it repeats
 	running
-	pausing // taken off, not confirmed: counts as running
-	paused
 	atCall   // parked: its call is not out
 	calling  // its call is out
 	answered // has its answer, yet still runs or has still to leave its call
 	over
-	onCore = running | pausing | answered
+	onCore = running | answered
 )
 
 type input uint16
@@ -42,7 +40,6 @@
 	short                      // judged: less time left than a typical run
 	noRoom                     // judged: the load, the memory or a drain forbids it
 	due                        // judged: its due moment is here, or it can earn nothing any more
-	crowded                    // judged: too many are on the cores
 	letOut                     // judged: its call may go
 	leaveOut                   // judged: a poorer answer pays better than the call
 	gone                       // the rest happened
@@ -60,19 +57,17 @@
 	next state
 	do   func(*Server, *task)
 }{
-	{held | paused, room, running, (*Server).start},
+	{held, room, running, (*Server).start},
 	{held, repeats, sharing, act(Reuse)},
 	{held, short | due, over, (*Server).sendBack},
 	{held, noRoom, over, (*Server).sendAway},
-	{held | sharing | paused, gone, over, (*Server).forget},
-	{sharing | paused, due, over, (*Server).abandon},
-	{sharing | running | pausing | answered, ended, over, nil},
+	{held | sharing, gone, over, (*Server).forget},
+	{sharing, due, over, (*Server).abandon},
+	{sharing | running | answered, ended, over, nil},
 	{sharing | running, stopped, over, (*Server).abandon},
-	{running | pausing, parked, atCall, nil},
-	{running | pausing, due, answered, both((*Server).abandon, (*Server).takeOff)},
-	{running | pausing, gone, answered, (*Server).takeOff},
-	{running, crowded, pausing, (*Server).takeOff},
-	{pausing, stopped, paused, nil},
+	{running, parked, atCall, nil},
+	{running, due, answered, both((*Server).abandon, (*Server).takeOff)},
+	{running, gone, answered, (*Server).takeOff},
 	{atCall, letOut, calling, (*Server).invoke},
 	{atCall, leaveOut, running, act(Skip)},
 	{atCall, due, answered, (*Server).abandon},
@@ -181,6 +176,7 @@
 	leastCalls, mostCalls, callMost            float64
 	callShare, callLinger                      float64
 	creditFull, patience                       float64 // patience is a quarter of the shortest due time
+	callers, idleMost, idle                    float64 // idle: connections silent for so long are closed
 	tellsWait, byWork                          bool
 	stopping                                   Stopping
 	free                                       Free
@@ -204,6 +200,7 @@
 	call                            learned // how calls below fare
 	share, shareTold                float64 // of the usual traffic wanted
 	lag                             float64 // mean time that tasks lately waited unread
+	lastRead, gap                   float64 // mean time between the last 50 or so reads
 	unmet                           int     // tasks since the last tick that were read or run for nothing
 }
 
@@ -216,6 +213,7 @@
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
 		callMost: math.Inf(1), callShare: math.Inf(1), patience: math.Inf(1), gauges: Gauges{Runnable: -1},
+		callers: float64(site.Callers), idleMost: site.Idle, idle: site.Idle,
 		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
@@ -248,7 +246,7 @@
 
 // begin sets what needs the time of the first batch.
 func (s *Server) begin() {
-	s.born, s.tickAt, s.lastEnd, s.lastTimely, s.callBooked = s.now, s.now, s.now, s.now, s.now
+	s.born, s.tickAt, s.lastEnd, s.lastTimely, s.callBooked, s.lastRead = s.now, s.now, s.now, s.now, s.now, s.now
 	for i := range s.stages {
 		// 8 s: some tens of runs on a busy server, yet a slow-down of a few seconds still shows.
 		s.stages[i].learned = newLearned(s.now, 8)
@@ -274,7 +272,6 @@
 	}
 	s.judgeDue()
 	s.judgeCalls()
-	s.judgeCrowd()
 	s.judgeRoom()
 	s.judgeHold()
 	s.tasks = slices.DeleteFunc(s.tasks, func(t *task) bool { return t.state == over })
@@ -350,14 +347,14 @@
 		t.value *= s.overShare
 	}
 	s.lag += 0.05 * (in.Age - s.lag)
+	s.gap += 0.02 * (s.now - s.lastRead - s.gap)
+	s.lastRead = s.now
 	s.byID[t.id] = t
 	s.tasks = append(s.tasks, t)
 	s.memory += t.memory
 	shares := s.reuseFor > 0 && st.Effect == Restartable && !in.Write
 	t.repeated = in.Earlier != "" && st.Effect == Fingerprinted
 	switch {
-	case s.now >= t.dueAt:
-		s.step(t, due)
 	case t.arrived > s.drainAt+s.drainGrace, s.used() > 0.95*s.memoryLimit:
 		s.step(t, noRoom)
 	case in.Earlier != "" && (t.repeated || shares):
@@ -413,8 +410,7 @@
 	}
 	// Exception for thin waits, which pass the floor and yet run out at calls or in long runs: as far as
 	// one run in three ends in vain, the usual time at calls and a second run must be left too.
-	st.need = st.floor + min(1, 3*st.vain)*(st.mean+st.calls*s.call.mean)
-	st.need = min(st.need, st.TimeLimit/2)
+	st.need = min(st.floor+min(1, 3*st.vain)*(st.mean+st.calls*s.call.mean), st.TimeLimit/2)
 }
 
 // crowdLimit is what the cores survive, cold or warm: a ceiling. A fifth is kept free.
@@ -442,16 +438,30 @@
 		s.typical = max(s.typical, s.stages[i].mean)
 	}
 	s.learnCalls()
+	s.tuneIdle()
 	s.tuneRunCap()
 	s.tuneShare()
 }
 
+// tuneIdle closes connections at once where callers come back so seldom that keeping them costs the cores
+// more than new ones, and keeps others out of a full table; it may hurt if but a few do come back soon.
+func (s *Server) tuneIdle() {
+	idle := s.idleMost
+	if s.gap*s.callers > 8 { // both cost about the same near 5 s, where some tens of callers share a server
+		idle = min(idle, 0.05)
+	}
+	if idle != s.idle {
+		s.idle = idle
+		s.act(Action{Kind: Idle, For: idle})
+	}
+}
+
 // tuneRunCap climbs fast while cores are free and work is held. How many may crowd each core beyond
 // that is what the two arms try: one a core, or half as many again.
 func (s *Server) tuneRunCap() {
 	g := s.gauges
 	s.gauges.Runnable = -1 // each reading counts once
-	waiting := s.n(held|paused) > 0
+	waiting := s.n(held) > 0
 	s.armBusy = s.armBusy || waiting
 	if s.now >= s.armTill {
 		if s.armBusy {
@@ -509,7 +519,7 @@
 	for _, t := range s.tasks {
 		vain := t.stage.LateUtility == 0 && s.now > t.goal
 		switch {
-		case s.now >= t.dueAt-1e-3, vain && (s.stopping != NoStop || t.state == atCall || t.state == paused):
+		case s.now >= t.dueAt-1e-3, vain && (s.stopping != NoStop || t.state == atCall):
 			s.step(t, due)
 		case t.end-s.now < t.stage.need:
 			s.step(t, short)
@@ -542,15 +552,7 @@
 	fits := s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
 	// While many wait to be let out, more of their kind would be work begun in vain.
 	vain := t.stage.Calls && s.n(atCall) >= max(2, s.callCap)
-	return t.state == paused || t.state == held && fits && !vain
-}
-
-// judgeCrowd takes the latest due off the cores where calls have come back all at once.
-func (s *Server) judgeCrowd() {
-	for s.stopping == Pause && s.n(running) > 2*s.runCap {
-		s.step(s.first(func(t *task) bool { return t.state == running },
-			func(a, b *task) int { return byGoal(b, a) }), crowded)
-	}
+	return t.state == held && fits && !vain
 }
 
 // judgeHold goes through the hold by due time and turns away what the cores, or the calls, can't reach
@@ -558,12 +560,10 @@
 func (s *Server) judgeHold() {
 	line := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != held })
 	slices.SortStableFunc(line, byGoal)
-	// Ends that come late stretch the expected runs, before any slow run has ended.
-	strain := max(1, (s.now-s.lastEnd)*s.n(onCore)/(4*s.typical))
 	ahead, aheadCalls := 0.0, s.n(atCall)*s.call.mean
 	for i := 0; i < len(line); i++ {
 		t := line[i]
-		run, away := t.stage.mean*strain, t.stage.calls*s.call.mean
+		run, away := t.stage.mean, t.stage.calls*s.call.mean
 		wait, byCalls := ahead/s.runCap, away > 0 && aheadCalls/s.callCap > ahead/s.runCap
 		if byCalls {
 			wait = aheadCalls / s.callCap
@@ -580,7 +580,7 @@
 				worst = j
 			}
 		}
-		ahead -= line[worst].stage.mean * strain
+		ahead -= line[worst].stage.mean
 		aheadCalls -= line[worst].stage.calls * s.call.mean
 		s.step(line[worst], noRoom)
 		line = slices.Delete(line, worst, worst+1)
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -23,13 +23,14 @@
 	timers, lingers []float64
 	drainAt, killAt float64
 	rejected        map[string]Action
+	idle            float64
 	inHand          [][2]float64 // times and calls
 }
 
 type plainTask struct {
 	id, identity         string
 	stage                Stage
-	where                string // held, sharing, core, parked, calling, paused, over
+	where                string // held, sharing, core, parked, calling, over
 	arrived, due, readAt float64
 	memory               float64
 	answered, gone, ran  bool
@@ -106,7 +107,10 @@
 		return check(a.For >= 0, "timer in the past")
 	case SetFree:
 		return check(p.site.Free != NoFree && a.Value >= 0, "free value not allowed")
-	case Health, Idle, Note:
+	case Idle:
+		p.idle = a.For
+		return check(a.For >= 0.01 && a.For <= p.site.Idle, "connections closed too soon or too late")
+	case Health, Note:
 		return nil
 	}
 	t := p.tasks[a.ID]
@@ -116,16 +120,14 @@
 	is := func(where ...string) bool { return slices.Contains(where, t.where) }
 	switch a.Kind {
 	case Start:
-		if !is("held", "paused") || t.answered || t.gone {
+		if !is("held") || t.answered || t.gone {
 			return fmt.Errorf("starts a task that is %s", t.where)
 		}
-		if t.where == "held" {
-			if t.arrived > p.drainAt+p.site.DrainGrace {
-				return fmt.Errorf("runs what came after the grace")
-			}
-			if p.twin(t) {
-				return fmt.Errorf("runs a second try")
-			}
+		if t.arrived > p.drainAt+p.site.DrainGrace {
+			return fmt.Errorf("runs what came after the grace")
+		}
+		if p.twin(t) {
+			return fmt.Errorf("runs a second try")
 		}
 		t.where, t.ran = "core", true
 	case Reject, Abandon:
@@ -140,12 +142,13 @@
 		if t.where == "calling" {
 			p.lingers = append(p.lingers, p.now+p.site.CallLinger)
 		}
-		if is("held", "paused", "sharing") {
+		if is("held", "sharing") {
 			t.where = "over"
 		}
 	case TakeOff:
 		t.stopPending = t.where == "core"
-		return check(p.site.Stopping != NoStop && t.stage.Effect != Fingerprinted, "stops what it must not")
+		ok := p.site.Stopping != NoStop && t.stage.Effect != Fingerprinted && (t.answered || t.gone)
+		return check(ok, "stops what it must not")
 	case Call:
 		if !is("parked") || t.answered || a.For <= 0 || p.now+a.For > t.due {
 			return fmt.Errorf("call from %s for %.3f", t.where, a.For)
@@ -256,22 +259,12 @@
 
 // next is when the earliest timer goes off.
 func (p *plain) next() float64 {
-	next := math.Inf(1)
-	for _, at := range p.timers {
-		next = min(next, at)
-	}
-	return next
+	return slices.Min(append([]float64{math.Inf(1)}, p.timers...))
 }
 
 // ring takes out the timers that are due and makes their event.
 func (p *plain) ring() Event {
-	var later []float64
-	for _, at := range p.timers {
-		if at > p.now {
-			later = append(later, at)
-		}
-	}
-	p.timers = later
+	p.timers = slices.DeleteFunc(p.timers, func(at float64) bool { return at <= p.now })
 	return Event{Kind: Timer, Gauges: Gauges{Busy: 0.9, Runnable: float64(p.count("core"))}}
 }
 
@@ -285,6 +278,7 @@
 	if site.Memory == 0 {
 		site.Memory = 1e6
 	}
+	site.Idle = 30
 	site.RunFactor, site.Crowd, site.CrowdFor, site.AnswerSlack = 4, 4, 2, 0.05
 	site.TellsWait, site.DrainGrace, site.CallLinger, site.CallFor = true, 1, 0.2, 5
 	return site
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -18,7 +18,7 @@
 func drawSite(t *rapid.T) Site {
 	f := func(name string, lo, hi float64) float64 { return rapid.Float64Range(lo, hi).Draw(t, name) }
 	n := func(name string, lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, name) }
-	site := Site{Cores: n("cores", 1, 6), Servers: n("servers", 1, 20), Callers: n("callers", 1, 5),
+	site := Site{Cores: n("cores", 1, 6), Servers: n("servers", 1, 20), Callers: n("callers", 0, 900), Idle: f("idle", 0.01, 30),
 		ColdFrom: f("coldFrom", 0.15, 1), DrainGrace: f("grace", 0, 2), AnswerSlack: 0.06,
 		Crowd: f("crowd", 2, 8), CrowdFor: 2, Memory: f("memory", 300, 5000), RunFactor: f("factor", 1, 16),
 		KeyMemory: f("key", 1, 60), Below: Below(n("below", 0, 2)), CallShare: f("share", 0.2, 8), CallFor: 5,
@@ -112,10 +112,7 @@
 		switch {
 		case task.where == "core" && task.stopPending: // the stop is confirmed in the batch after
 			task.stopPending = false
-			task.where = "paused"
-			if task.answered || task.gone {
-				task.where = "over"
-			}
+			task.where = "over"
 			events = append(events, Event{Kind: Ended, ID: id, Outcome: Stopped})
 		case task.where == "core" && what < 4 && (task.answered || task.gone):
 			events = append(events, p.end(task, Stopped))
@@ -142,7 +139,7 @@
 			events = append(events, p.end(task, Finished))
 		case what == 14 && !task.answered && !task.gone:
 			task.gone = true
-			if task.where == "held" || task.where == "paused" || task.where == "sharing" {
+			if task.where == "held" || task.where == "sharing" {
 				task.where = "over"
 			}
 			if task.where == "calling" {
