A call's time is bounded by a quarter of the window's share, whatever the share

Cause looked for: with a share under one the bound was 0.3 of the window's share less the time an abandoned call stays counted, which nears the slush where the share is 0.15 and loses every call. Kept as one rule for all shares, two lines shorter.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -226,11 +226,9 @@
 	// calls of the dead and those whose end is not known yet count too.
 	s.leastCalls, s.mostCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
 	if site.Below == Shared {
-		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
-		s.callShare = site.CallShare
-		if s.callShare < 1 { // one call is over the share: it must be short, to keep the window's mean
-			s.mostCalls, s.callMost = 0.6*s.callShare, max(slush, 0.3*s.callShare*site.CallFor-s.callLinger)
-		}
+		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.75*site.CallShare, site.CallShare/2
+		// Where one call is over the share it must be short, to keep the window's mean.
+		s.callShare, s.callMost = site.CallShare, site.CallShare*site.CallFor/4
 	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st, runs: 1})
