Thin waits need only the floor while cores are free

What runs in vain add to the floor only serves others that want the core. It may hurt where a free core is soon wanted by a better task.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -406,8 +406,8 @@
 		// are no ends then because none can end, and a lower floor would let in what cannot either.
 		st.floor += 0.05 * min(st.lowest.Min(s.now)-st.floor, 0)
 	}
-	// Exception for thin waits, which pass the floor and yet run out at calls or in long runs: as far as
-	// one run in three ends in vain, the usual time at calls and a second run must be left too.
+	// Exception for thin waits, which pass the floor and yet run out at calls or in long runs: as far as one
+	// run in three ends in vain, the time at calls and a second run must be left too, unless cores are free.
 	st.need = min(st.floor+min(1, 3*st.vain)*(st.mean+st.calls*s.call.mean), st.TimeLimit/2)
 }
 
@@ -519,7 +519,7 @@
 		switch {
 		case s.now >= t.dueAt-1e-3, vain && (s.stopping != NoStop || t.state == atCall):
 			s.step(t, due)
-		case t.end-s.now < t.stage.need:
+		case t.end-s.now < t.stage.floor, t.end-s.now < t.stage.need && s.n(onCore)+1 >= s.cores:
 			s.step(t, short)
 		}
 	}
