A server whose tasks wait unread for long leaves the list sooner

Off the list once tasks wait unread for a quarter of the shortest due time and none ended in time for 0.5 s, before 3 s. It should cover any flood of one server; it may hurt where hardly any task can end in time anyway.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -217,9 +217,6 @@
 	}
 	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
-	if s.coldFor > 0 {
-		s.share = max(0.05, s.coldFrom)
-	}
 	// A tier has its own guard: only a flood is kept from it. A shared dependency gets sluggish long
 	// before it falls: a quarter of the share is let out however slow it is, and never all of it, as
 	// calls of the dead and those whose end is not known yet count too.
@@ -422,9 +419,10 @@
 
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
-	// Halted: the cores are taken yet nothing got on for 4 runs, or all is read too late for 3 s.
+	// Halted: the cores are taken yet nothing got on for 4 runs, or tasks wait unread for long and none ended
+	// in time for 0.5 s: sooner or without ends in time all servers would leave under plain overload.
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical ||
-		s.lag > s.patience && s.now-s.lastTimely > 3
+		s.lag > s.patience && s.now-s.lastTimely > 0.5
 	s.lag *= 0.98 // forgotten in seconds where nothing is read any more
 	if halted != s.halted && !s.draining() {
 		s.act(Action{Kind: Health, Flag: !halted})
