--- a/choice/choice.go
+++ b/choice/choice.go
@@ -174,7 +174,7 @@
 	memoryLimit, runFactor, keyMemory          float64
 	drainGrace, overShare, reuseFor, adviceMax float64
 	leastCalls, mostCalls, callMost            float64
-	callLinger, creditFull, patience           float64 // patience is a quarter of the shortest due time
+	callLinger, creditFull, patience           float64 // patience is an eighth of the shortest due time
 	callers, idleMost, idle                    float64 // idle: connections silent for so long are closed
 	tellsWait, byWork                          bool
 	stopping                                   Stopping
@@ -228,7 +228,7 @@
 	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st, runs: 1})
-		s.patience = min(s.patience, st.DueTime/4)
+		s.patience = min(s.patience, st.DueTime/8)
 	}
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
