--- a/choice/choice.go
+++ b/choice/choice.go
@@ -174,7 +174,7 @@
 	memoryLimit, runFactor, keyMemory          float64
 	drainGrace, overShare, reuseFor, adviceMax float64
 	leastCalls, mostCalls, callMost            float64
-	callLinger, creditFull, patience           float64 // patience is an eighth of the shortest due time
+	callLinger, creditFull, patience           float64 // patience is a sixth of the shortest due time
 	callers, idleMost, idle                    float64 // idle: connections silent for so long are closed
 	tellsWait, byWork                          bool
 	stopping                                   Stopping
@@ -222,13 +222,13 @@
 	// calls of the dead and those whose end is not known yet count too.
 	s.leastCalls, s.mostCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
 	if site.Below == Shared {
-		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.75*site.CallShare, site.CallShare/2
+		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
 		// Where one call is over the share it must be short, to keep the window's mean.
 		s.callMost = site.CallShare * site.CallFor / 4
 	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st, runs: 1})
-		s.patience = min(s.patience, st.DueTime/8)
+		s.patience = min(s.patience, st.DueTime/6)
 	}
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
