--- a/choice/types.go
+++ b/choice/types.go
@@ -141,7 +141,7 @@
 type ActionKind uint8
 
 const (
-	Start    ActionKind = iota // run a held task, or go on with a paused one
+	Start    ActionKind = iota // run a held task
 	TakeOff                    // stop running work
 	Reject                     // final answer: turned away; For is the advice, Flag asks not to try elsewhere
 	Abandon                    // final answer: error
