--- a/choice/choice.go
+++ b/choice/choice.go
@@ -420,7 +420,7 @@
 func (s *Server) tick() {
 	s.tickAt = s.now + 0.1 // a tenth of the shortest memory that matters; its cost is not felt
 	// Halted: the cores are taken yet nothing got on for 4 runs, or tasks wait unread for long and none ended
-	// in time for 0.5 s: sooner or without ends in time all servers would leave under plain overload.
+	// in time for 0.5 s. Without that last test all servers would leave together under plain overload.
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical ||
 		s.lag > s.patience && s.now-s.lastTimely > 0.5
 	s.lag *= 0.98 // forgotten in seconds where nothing is read any more
@@ -440,11 +440,12 @@
 }
 
 // tuneIdle closes connections at once where callers come back so seldom that keeping them costs the cores
-// more than new ones, and keeps others out of a full table; it may hurt if but a few do come back soon.
+// more than new ones do, and the full table would keep others out. It may hurt in a storm of retries, where
+// a full table is the cheapest way of rejecting.
 func (s *Server) tuneIdle() {
 	idle := s.idleMost
 	if s.gap*s.callers > 8 { // both cost about the same near 5 s, where some tens of callers share a server
-		idle = min(idle, 0.05)
+		idle = min(idle, 0.05) // the shortest that was tried, and the best on busy days
 	}
 	if idle != s.idle {
 		s.idle = idle
