SIGHUP reads the configuration again and moves the links to its new addresses

At fault: life/limits.go took SIGTERM and SIGINT only, so Go's default ended the process; link.go dialled the address of the start for ever. Now SIGHUP is taken before the configuration is read; a faulty file is logged with its key and changes nothing; keys that can't change are logged. Dials under way are broken off, links move as after a break, calls in hand end on the old connection.

--- a/cmd/swiftcourse/main.go
+++ b/cmd/swiftcourse/main.go
@@ -11,6 +11,7 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	signals := life.Hear()
 	start, err := life.Read(os.Getenv)
 	if err != nil {
 		log.Fatalf("event=bad_configuration err=%q", err)
@@ -25,7 +26,18 @@
 			stage.Calls)
 	}
 	server := serve.New(start)
-	life.OnNotice(func(os.Signal) { server.Leave() })
+	signals.Follow(server.Leave, func() {
+		to, ignored, err := start.Again(os.Getenv)
+		if err != nil {
+			log.Printf("event=reload_refused err=%q", err)
+			return
+		}
+		for _, key := range ignored {
+			log.Printf("event=reload_ignores key=%s", key)
+		}
+		log.Printf("event=reload processor=%s catalogue=%s roster=%s", to.Processor, to.Catalogue, to.Roster)
+		server.Move(to)
+	})
 	if err := server.Run(); err != nil {
 		log.Fatalf("event=end err=%q", err)
 	}
--- a/internal/life/limits.go
+++ b/internal/life/limits.go
@@ -17,13 +17,28 @@
 	debug.SetMemoryLimit(s.Memory * 7 / 10)
 }
 
-// OnNotice calls f at each notice to leave.
-func OnNotice(f func(os.Signal)) {
-	notices := make(chan os.Signal, 1)
-	signal.Notify(notices, syscall.SIGTERM, syscall.SIGINT)
+// Signals are the notices to leave, and those that the configuration has changed.
+type Signals struct{ leave, reload chan os.Signal }
+
+// Hear takes the signals from now on; SIGHUP never ends the process. One that comes while another of its
+// kind waits is one with it: the file is read after both.
+func Hear() Signals {
+	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+// Follow has the signals do something, those that came before too.
+func (s Signals) Follow(leave, reload func()) {
 	go func() {
-		for notice := range notices {
-			f(notice)
+		for {
+			select {
+			case <-s.leave:
+				leave()
+			case <-s.reload:
+				reload()
+			}
 		}
 	}()
 }
--- a/internal/life/start.go
+++ b/internal/life/start.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 
 	"swiftcourse/choice"
@@ -17,20 +18,26 @@
 )
 
 // Start is all that the server was told, checked and in our words.
-type Start struct {
-	Name, Listen                 string
-	Processor, Roster, Catalogue string // addresses; no Catalogue at the last tier
-	Seed                         int64
-	Stop                         float64 // seconds from the notice to leave to the kill
-	Cores                        float64 // what this program may use, as are the two below
-	Memory                       int64   // bytes
-	Sockets                      int
-	Site                         choice.Site
-	ColdFor                      float64        // how long a cold processor takes to warm up
-	Stages, Tenants              map[string]int // by name
-	StageNames, Gauges           []string
+type Start struct { // a field's key is what sets it
+	Name   string `key:"name"`
+	Listen string `key:"listen"`
+	Addresses
+	Seed       int64          `key:"seed"`
+	Stop       float64        `key:"stop_ms"` // seconds from the notice to leave to the kill
+	Cores      float64        `key:"limits"`  // what this program may use, as are the two below
+	Memory     int64          `key:"limits"`  // bytes
+	Sockets    int            `key:"limits"`
+	Site       choice.Site    `key:"settings"`
+	ColdFor    float64        `key:"settings"` // how long a cold processor takes to warm up
+	Stages     map[string]int `key:"settings"` // by name, as are the tenants
+	Tenants    map[string]int `key:"settings"`
+	StageNames []string       `key:"settings"`
+	Gauges     []string       `key:"settings"`
 }
 
+// Addresses are where the other parties are, the part of the configuration that may change while serving.
+type Addresses struct{ Processor, Roster, Catalogue string } // no Catalogue at the last tier
+
 // file is the configuration as it is written.
 type file struct {
 	Name      string  `json:"name"`
@@ -113,8 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
-	start := &Start{Name: f.Name, Listen: f.Listen, Processor: f.Processor, Roster: f.Roster, Catalogue: f.Catalog,
-		Seed: int64(seed), Stop: f.StopMs / 1000, Cores: f.Limits.Cores, Memory: int64(f.Limits.MemoryMb * (1 << 20)),
+	start := &Start{Name: f.Name, Listen: f.Listen,
+		Addresses: Addresses{Processor: f.Processor, Roster: f.Roster, Catalogue: f.Catalog},
+		Seed:      int64(seed), Stop: f.StopMs / 1000, Cores: f.Limits.Cores, Memory: int64(f.Limits.MemoryMb * (1 << 20)),
 		Sockets: f.Limits.Sockets, Site: Site(s), ColdFor: s.Contract.ColdMs / 1000, Gauges: s.FamilyInfo.Gauges,
 		Stages: map[string]int{}, Tenants: map[string]int{}}
 	for i, stage := range s.Stages {
@@ -132,6 +140,23 @@
 	return start, nil
 }
 
+// Again reads the configuration once more. It gives the addresses that hold now, and the keys that say
+// something else than at the start although they can't change while serving.
+func (s *Start) Again(getenv func(string) string) (to Addresses, ignored []string, err error) {
+	next, err := Read(getenv)
+	if err != nil {
+		return to, nil, err
+	}
+	was := reflect.ValueOf(s).Elem()
+	for i := range was.NumField() {
+		field := was.Type().Field(i)
+		if !field.Anonymous && !reflect.DeepEqual(was.Field(i).Interface(), reflect.ValueOf(next).Elem().Field(i).Interface()) {
+			ignored = append(ignored, field.Tag.Get("key"))
+		}
+	}
+	return next.Addresses, slices.Compact(ignored), nil
+}
+
 // agree takes what the environment says where the file says nothing; they may not differ.
 func agree(key, variable string, value *string, env string) error {
 	switch {
--- a/internal/life/start_test.go
+++ b/internal/life/start_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"swiftcourse/choice"
@@ -87,3 +91,53 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+func TestReadAgainWhileServing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string {
+		if key == "RELAY_CONFIG" {
+			return path
+		}
+		return ""
+	}
+	write := func(old, new string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(good, old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("", "")
+	start, err := Read(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, processor, ignored, err string }{
+		{"", "", "127.0.0.2:9300", "[]", ""},
+		{"127.0.0.2:9300", "127.0.0.7:9300", "127.0.0.7:9300", "[]", ""},
+		{`"memory_mb":192`, `"memory_mb":64`, "127.0.0.2:9300", "[limits]", ""},
+		{`"lateWorth":0.2`, `"lateWorth":0.3`, "127.0.0.2:9300", "[settings]", ""},
+		{"127.0.0.3:2379", "nowhere", "", "[]", "roster"},
+		{`{`, ``, "", "[]", "configuration"},
+	} {
+		write(c.old, c.new)
+		to, ignored, err := start.Again(env)
+		if to.Processor != c.processor || fmt.Sprint(ignored) != c.ignored ||
+			(err != nil) != (c.err != "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s for %s: %+v, %v, %v", c.new, c.old, to, ignored, err)
+		}
+	}
+}
+
+func TestHangupsNeverEndTheProcess(t *testing.T) {
+	signals := Hear()
+	self, _ := os.FindProcess(os.Getpid())
+	for range 3 { // before anybody follows
+		_ = self.Signal(syscall.SIGHUP)
+	}
+	left, reloaded := make(chan bool, 9), make(chan bool, 9)
+	signals.Follow(func() { left <- true }, func() { reloaded <- true })
+	<-reloaded
+	_ = self.Signal(syscall.SIGTERM)
+	<-left
+	_ = self.Signal(syscall.SIGHUP) // while leaving
+	<-reloaded
+}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/choice"
+	"swiftcourse/internal/life"
 )
 
 // reach tells how far an attempt had come when it ended.
@@ -58,26 +60,84 @@
 // dialFor bounds one dial: on one machine or its network an answer takes far less.
 const dialFor = time.Second
 
+// book is where the other parties are; its context ends, with the dials under way, when they move.
+type book struct {
+	life.Addresses
+	ctx  context.Context
+	burn context.CancelFunc
+}
+
+func newBook(a life.Addresses) *book {
+	ctx, burn := context.WithCancel(context.Background())
+	return &book{a, ctx, burn}
+}
+
+func toProcessor(b *book) string { return b.Processor }
+func toCatalogue(b *book) string { return b.Catalogue }
+func toRoster(b *book) string    { return b.Roster }
+
+// Move tells the server, from any goroutine, where the other parties are now. Nothing new goes to where they
+// were; calls in hand may still end there.
+func (s *Server) Move(to life.Addresses) {
+	s.book.Swap(newBook(to)).burn()
+	go func() {
+		<-s.looping
+		_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			s.move()
+			return nil
+		}))
+	}()
+}
+
+func (s *Server) move() {
+	b := s.book.Load()
+	if l := s.processor; l.conn != nil && l.to != b.Processor {
+		l.leave()
+	}
+	if r := s.roster; r.conn != nil && r.to != b.Roster {
+		r.leave()
+	}
+	if tr := s.trunk; tr != nil && tr.conn != nil && tr.to != b.Catalogue {
+		tr.leave()
+	}
+}
+
+// dialled is a connection that we opened, on its way to the loop.
+type dialled struct {
+	party
+	link func(*book) string
+	to   string
+	vain int
+}
+
+var errMoved = errors.New("the other side has a new address")
+
 // dial opens a connection and hands it to the loop, where p meets it, and goes on for ever until it succeeds.
 // vain counts the links before that led nowhere; with once there is one dial, and p.closed hears if it fails.
-func (s *Server) dial(addr string, p party, vain int) {
+func (s *Server) dial(link func(*book) string, p party, vain int) {
 	loop := s.loop
 	s.dialBy(func(ctx context.Context) (<-chan gnet.RegisteredResult, error) {
 		c, _ := gnet.FromNetConnContext(ctx)
 		return loop.Enroll(ctx, c)
-	}, addr, p, vain)
+	}, link, p, vain)
 }
 
 type register func(context.Context) (<-chan gnet.RegisteredResult, error)
 
 // dialBy is dial where the loop is not known yet. The engine's own register is not safe for two at once.
-func (s *Server) dialBy(hand register, addr string, p party, vain int) {
+func (s *Server) dialBy(hand register, link func(*book) string, p party, vain int) {
 	go func() {
 		for n := vain; ; n++ {
 			time.Sleep(pause(n))
-			c, err := net.DialTimeout("tcp", addr, dialFor)
+			b := s.book.Load()
+			addr := link(b)
+			c, err := (&net.Dialer{Timeout: dialFor}).DialContext(b.ctx, "tcp", addr)
+			if err != nil && b.ctx.Err() != nil {
+				n-- // it moved: the dial led nowhere for no fault of the new address
+				continue
+			}
 			if err == nil {
-				ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), p)
+				ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), &dialled{p, link, addr, vain})
 				if _, err = hand(ctx); err == nil {
 					return
 				}
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -31,7 +31,7 @@
 	spareSockets = 24
 )
 
-func (p *peer) opened(c gnet.Conn) error {
+func (p *peer) opened(c gnet.Conn, _ string) error {
 	s := p.server
 	p.conn, p.heard = c, s.now()
 	s.peers[p.number] = p
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -28,8 +28,8 @@
 	confirmed int // of those, how many the processor is known to have read
 }
 
-func (l *processorLink) opened(c gnet.Conn) error {
-	l.conn = c
+func (l *processorLink) opened(c gnet.Conn, to string) error {
+	l.conn, l.to = c, to
 	log.Printf("event=link_open link=processor serial=%d", l.serial)
 	l.put(processor.PutHello(nil, l.serial))
 	return nil
@@ -40,10 +40,17 @@
 	l.shut(&l.server.pool)
 	l.up, l.fence = false, ""
 	l.server.gauges = choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1}
-	l.server.dial(l.server.start.Processor, l, l.vain)
+	l.server.dial(toProcessor, l, l.vain)
 	l.vain++
 }
 
+// leave has the processor spoken to over a new link; what was said on this one and not proven read is repeated.
+func (l *processorLink) leave() {
+	_ = l.conn.Close()
+	l.vain = 0
+	l.closed(errMoved)
+}
+
 func (l *processorLink) put(b []byte) { l.server.write(&l.line, b) }
 
 // command sends a command where the link is up; what is not sent now is repeated after the fence.
--- a/internal/serve/roster.go
+++ b/internal/serve/roster.go
@@ -24,8 +24,8 @@
 	answerIn    = 1 // s; a report unanswered for so long is taken as lost, with its link
 )
 
-func (r *rosterLink) opened(c gnet.Conn) error {
-	r.conn, r.waits = c, false
+func (r *rosterLink) opened(c gnet.Conn, to string) error {
+	r.conn, r.to, r.waits = c, to, false
 	log.Printf("event=link_open link=roster")
 	r.tell()
 	return nil
@@ -37,10 +37,17 @@
 	if r.waits {
 		r.toldAt = 0 // that report may be lost: it is sent again on the next link
 	}
-	r.server.dial(r.server.start.Roster, r, r.vain)
+	r.server.dial(toRoster, r, r.vain)
 	r.vain++
 }
 
+// leave has the reports go over a new link.
+func (r *rosterLink) leave() {
+	_ = r.conn.Close()
+	r.vain = 0
+	r.closed(errMoved)
+}
+
 // tell sends a report where one is due: when health changed, and every so often.
 func (r *rosterLink) tell() {
 	s := r.server
@@ -56,7 +63,7 @@
 		return
 	}
 	r.waits, r.told, r.toldAt = true, s.well, now
-	s.scratch = roster.PutReport(s.scratch[:0], s.start.Roster, s.start.Name, s.well)
+	s.scratch = roster.PutReport(s.scratch[:0], r.to, s.start.Name, s.well)
 	s.write(&r.line, s.scratch)
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -10,6 +10,7 @@
 	"math"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -25,7 +26,8 @@
 type Server struct {
 	gnet.BuiltinEventEngine
 	start  *life.Start
-	anchor time.Time // when the clock was set, by the Unix clock's unix seconds
+	book   atomic.Pointer[book] // where the other parties are, for the goroutines that dial too
+	anchor time.Time            // when the clock was set, by the Unix clock's unix seconds
 	unix   float64
 
 	engine  gnet.Engine
@@ -77,6 +79,7 @@
 		calls: map[string]*call{}, peers: map[int]*peer{}, idle: start.Site.Idle,
 		drainAt: math.Inf(1), killAt: math.Inf(1),
 		gauges: choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1}}
+	s.book.Store(newBook(start.Addresses))
 	s.run = gnet.RunnableFunc(func(context.Context) error { return s.turn() })
 	s.processor = &processorLink{server: s}
 	s.roster = &rosterLink{server: s}
@@ -104,16 +107,17 @@
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	if !s.ticked {
 		s.ticked = true
-		s.dialBy(s.engine.Register, s.start.Processor, s.processor, 0)
+		s.dialBy(s.engine.Register, toProcessor, s.processor, 0)
 	}
 	return time.Hour, gnet.None
 }
 
 // party is who is at the other end of a connection.
 type party interface {
-	opened(c gnet.Conn) error
-	take(b []byte) (int, error) // reads whole messages off the start of b, and tells how much that was
+	opened(c gnet.Conn, to string) error // to is where we dialled it, "" where it was opened to us
+	take(b []byte) (int, error)          // reads whole messages off the start of b, and tells how much that was
 	closed(err error)
+	has(c gnet.Conn) bool // c is its connection, not one that it left
 }
 
 // OnOpen meets a new connection: one of our links, or a balancer.
@@ -123,16 +127,24 @@
 		s.loop = c.EventLoop()
 		s.alarm = time.AfterFunc(time.Hour, func() { _ = s.loop.Execute(context.Background(), s.run) })
 		s.timers.Add(s.now()+countEvery, s.count)
-		s.dial(s.start.Roster, s.roster, 0)
+		s.dial(toRoster, s.roster, 0)
 		close(s.looping)
 	}
-	p, ours := c.Context().(party)
-	if !ours {
+	var p party
+	to := ""
+	if d, ours := c.Context().(*dialled); ours {
+		c.SetContext(d.party)
+		if d.link(s.book.Load()) != d.to { // moved meanwhile
+			s.dial(d.link, d.party, d.vain)
+			return nil, gnet.Close
+		}
+		p, to = d.party, d.to
+	} else {
 		s.peerNumber++
 		p = &peer{server: s, number: s.peerNumber, open: map[uint64]*memory.Task{}}
 		c.SetContext(p)
 	}
-	if err := p.opened(c); err != nil {
+	if err := p.opened(c, to); err != nil {
 		log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), err)
 		return nil, gnet.Close
 	}
@@ -143,7 +155,7 @@
 func (s *Server) OnTraffic(c gnet.Conn) (action gnet.Action) {
 	defer s.guard(c, &action)
 	p, ok := c.Context().(party)
-	if !ok {
+	if !ok || !p.has(c) {
 		return gnet.Close
 	}
 	b, err := c.Peek(-1)
@@ -164,7 +176,7 @@
 // OnClose parts with a connection.
 func (s *Server) OnClose(c gnet.Conn, err error) (action gnet.Action) {
 	defer s.guard(c, &action)
-	if p, ok := c.Context().(party); ok {
+	if p, ok := c.Context().(party); ok && p.has(c) {
 		p.closed(err)
 	}
 	return gnet.None
@@ -238,10 +250,13 @@
 // line is a connection, while it is open, and what waits to be written on it.
 type line struct {
 	conn   gnet.Conn
+	to     string
 	out    memory.Out
 	unsent bool
 }
 
+func (l *line) has(c gnet.Conn) bool { return l.conn == c }
+
 // shut books that the connection is closed; what was still to be written must not reach the next one.
 func (l *line) shut(p *memory.Pool) {
 	l.conn = nil
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -127,8 +127,7 @@
 	front := listen(t)
 	addr := front.Addr().String()
 	front.Close()
-	start := &life.Start{Name: "n1", Listen: addr, Processor: w.processors.Addr().String(),
-		Roster: w.list.Addr().String(), Catalogue: w.catalogues.Addr().String(), Stop: 4, Sockets: 256,
+	start := &life.Start{Name: "n1", Listen: addr, Addresses: w.addresses(), Stop: 4, Sockets: 256,
 		Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}, StageNames: []string{"quote"},
 		Gauges: []string{"cpu_busy", "runnable"},
 		Site: choice.Site{Cores: 2, Servers: 1, Callers: 1, Crowd: 8, CrowdFor: 1, Memory: 1e6, RunFactor: 1,
@@ -157,16 +156,21 @@
 	return w
 }
 
+func (w *world) addresses() life.Addresses {
+	return life.Addresses{Processor: w.processors.Addr().String(), Roster: w.list.Addr().String(),
+		Catalogue: w.catalogues.Addr().String()}
+}
+
 // takeReports is the roster; it hangs up after each report, at times before its answer.
 func (w *world) takeReports() {
-	for n := 0; ; {
-		c, err := w.list.Accept()
+	for n, list, duty := 0, w.list, w.duty; ; {
+		c, err := list.Accept()
 		if err != nil {
 			return
 		}
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			body, _ := io.ReadAll(r.Body)
-			w.duty <- string(body)
+			duty <- string(body)
 			if n++; n%2 == 0 {
 				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
 			}
@@ -336,6 +340,65 @@
 	b.expect(answerTo(1) + "\x92\xa6Failed")
 }
 
+func TestNewAddressesTakeAllThatIsNew(t *testing.T) {
+	w := build(t, nil)
+	b := w.balancer()
+	b.send("%s", frame(1, "a1", "x"))
+	w.processor.wants("begin", "a1")
+	w.processor.ask(1, "a1", "c")
+	old := accept(t, w.catalogues)
+	old.expect("\r\nc\r\n")
+	before, oldProcessor := *w, w.processor
+	for range 2 { // the second before the first can have come through
+		w.processors, w.catalogues, w.list = listen(t), listen(t), listen(t)
+		w.server.Move(w.addresses())
+	}
+	w.duty = make(chan string, 1000)
+	go w.takeReports()
+	w.processor = accept(t, w.processors)
+	if hello := w.processor.command(false); hello["msg"] != "hello" || hello["serial"] != 1.0 {
+		t.Fatal(hello)
+	}
+	w.processor.send(`{"msg":"hi","how":"seasoned","duration":3600000}` + "\n")
+	w.processor.command(true)
+	if _, err := io.ReadAll(oldProcessor.in); err != nil {
+		t.Errorf("the old link ends with %v", err)
+	}
+	old.send("a1 DATA 1\r\nd\r\n") // a call in hand ends where it was made
+	w.processor.wants("answer", "a1")
+	w.processor.ask(2, "a1", "e") // and the next one goes to the new address
+	below := accept(t, w.catalogues)
+	below.expect("\r\ne\r\n")
+	below.send("a1 DATA 1\r\nf\r\n")
+	w.processor.wants("answer", "a1")
+	w.processor.complete(3, "a1", "done", "r")
+	b.expect(answerTo(1) + finished + "\x01r\x80")
+	for _, l := range []net.Listener{before.processors, before.catalogues} {
+		_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Millisecond))
+		if _, err := l.Accept(); err == nil {
+			t.Error("dialled at an old address")
+		}
+	}
+	if duty := <-w.duty; duty != `{"duty":"on"}` { // at the new roster
+		t.Error(duty)
+	}
+}
+
+func TestADialGoesToTheAddressOfTheMoment(t *testing.T) {
+	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1"}}) // where nothing listens
+	to := make(chan string, 1)
+	s.dialBy(func(ctx context.Context) (<-chan gnet.RegisteredResult, error) {
+		c, _ := gnet.FromNetConnContext(ctx)
+		to <- c.RemoteAddr().String()
+		return nil, c.Close()
+	}, toProcessor, s.processor, 0)
+	l := listen(t)
+	s.Move(life.Addresses{Processor: l.Addr().String()})
+	if got := <-to; got != l.Addr().String() {
+		t.Errorf("dialled %s", got)
+	}
+}
+
 func TestDrainAnswersAllAndEnds(t *testing.T) {
 	w := build(t, func(s *life.Start) { s.Stop = 10 })
 	b := w.balancer()
@@ -435,12 +498,13 @@
 // broken is a connection whose handling panics.
 type broken struct{ gnet.Conn }
 
-func (broken) Context() any             { return broken{} }
-func (broken) Peek(int) ([]byte, error) { return []byte("x"), nil }
-func (broken) RemoteAddr() net.Addr     { return &net.TCPAddr{} }
-func (broken) opened(gnet.Conn) error   { return nil }
-func (broken) take([]byte) (int, error) { panic("by the test") }
-func (broken) closed(error)             {}
+func (broken) Context() any                   { return broken{} }
+func (broken) Peek(int) ([]byte, error)       { return []byte("x"), nil }
+func (broken) RemoteAddr() net.Addr           { return &net.TCPAddr{} }
+func (broken) opened(gnet.Conn, string) error { return nil }
+func (broken) has(gnet.Conn) bool             { return true }
+func (broken) take([]byte) (int, error)       { panic("by the test") }
+func (broken) closed(error)                   {}
 
 func TestAPanicStopsAtItsConnection(t *testing.T) {
 	log.SetOutput(t.Output())
@@ -493,15 +557,15 @@
 
 func TestWhatWasUnsentDoesNotReachTheNextLink(t *testing.T) {
 	log.SetOutput(io.Discard)
-	s := New(&life.Start{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"})
+	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}})
 	s.loop = stillLoop{}
 	s.processor.conn, s.roster.conn = broken{}, broken{}
 	s.write(&s.processor.line, []byte("old"))
 	s.write(&s.roster.line, []byte("old"))
 	s.processor.closed(nil)
 	s.roster.closed(nil)
-	_ = s.processor.opened(broken{})
-	_ = s.roster.opened(broken{})
+	_ = s.processor.opened(broken{}, "")
+	_ = s.roster.opened(broken{}, "")
 	if got := bytes.Join(s.processor.out.Parts(), nil); string(got) != `{"msg":"hello","serial":0}`+"\n" {
 		t.Errorf("to the processor: %q", got)
 	}
--- a/internal/serve/trunk.go
+++ b/internal/serve/trunk.go
@@ -52,7 +52,7 @@
 	}
 	if s.trunk == nil {
 		s.trunk = &trunk{server: s, quiet: now}
-		s.dial(s.start.Catalogue, s.trunk, once)
+		s.dial(toCatalogue, s.trunk, once)
 	}
 	tr := s.trunk
 	c := &call{task: t, trunk: tr, began: now, until: now + wait}
@@ -135,8 +135,8 @@
 	}
 }
 
-func (tr *trunk) opened(c gnet.Conn) error {
-	tr.conn = c
+func (tr *trunk) opened(c gnet.Conn, to string) error {
+	tr.conn, tr.to = c, to
 	tr.quiet = tr.server.now()
 	if tr.left && tr.calls == 0 {
 		return errors.New("no call is left for it")
