Who brings nothing in order is closed in time, and first when descriptors run short

Now descriptors are shared out beforehand; at the limit the longest silent of those that never brought anything in order goes, then the longest silent; 1.5 s for the first message and for the rest of one. Figures out of range (no memory, rank 1, arrival decades ago) are no task: one such age, learned, would call the server halted. A peer's nonsense costs the log a line a second.

--- a/internal/memory/timers.go
+++ b/internal/memory/timers.go
@@ -30,6 +30,9 @@
 	return t.line[0].when
 }
 
+// Len counts them.
+func (t *Timers) Len() int { return len(t.line) }
+
 // Ripe does all that is due; what it adds waits for the next time.
 func (t *Timers) Ripe(now float64) {
 	n := 0
--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -53,7 +53,7 @@
 	now := s.now()
 	after := min(s.drainAt+s.start.Site.DrainGrace+0.1, s.killAt-partBefore)
 	if now >= after && s.tasks.Open() == 0 {
-		for _, p := range s.inOrder() {
+		for _, p := range s.peers {
 			s.part(p)
 		}
 		if len(s.peers) == 0 {
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
+	"math"
 	"slices"
 	"strconv"
 
@@ -20,36 +22,70 @@
 	server  *Server
 	number  int
 	open    map[uint64]*memory.Task
+	came    float64 // when it opened
 	heard   float64 // when something last went over it
+	half    float64 // since when a message has been there in part, 0 where none is
+	known   bool    // it sent a task or a check in full and in order
 	parting bool    // it was told to go away
-	warned  bool
 }
 
 const (
 	mostOpen = 32 // tasks on one connection, by the protocol
-	// spareSockets are kept from balancers: the links with their redials, the listener and the runtime's own.
-	spareSockets = 24
+	// spareSockets are kept from balancers and lanes: the links, the listener, the runtime's own, and a second
+	// descriptor for each of some dials while the loop takes them over.
+	spareSockets = 32
+	// speakIn is how soon a new connection has to bring something in order, and a message its rest. With the
+	// sweep's half second it ends 1 s before a peer that only wastes is owed its close. It may hurt a balancer that opens
+	// connections ahead of need, which then opens another, or whose machine stood still for as long.
+	speakIn    = 1.5
+	sweepEvery = 0.5
+	// clockApart is how far from now a task may say that it came: more than any pause of a machine, as an age is learned from.
+	clockApart = 60
 )
 
+// mostPeers is what is left of the descriptors: over half, which is what balancers may open.
+func (s *Server) mostPeers() int { return s.start.Sockets - spareSockets - s.mostLanes() }
+
 func (p *peer) opened(c gnet.Conn, _ string) error {
 	s := p.server
-	p.conn, p.heard = c, s.now()
+	p.conn, p.came, p.heard = c, s.now(), s.now()
 	s.peers[p.number] = p
-	if len(s.peers) > s.start.Sockets-spareSockets {
+	if len(s.peers) <= s.mostPeers() {
+		return nil
+	}
+	// One must go, of those with no task open: one that never brought anything in order before one that did,
+	// and then the one that was silent for longest. So who only holds connections keeps no balancer out.
+	var worst *peer
+	for _, q := range s.peers {
+		if len(q.open) == 0 && q != p && (worst == nil || !q.known && worst.known ||
+			q.known == worst.known && q.heard < worst.heard) {
+			worst = q
+		}
+	}
+	s.counts.evicted++
+	if worst == nil {
 		return errors.New("no descriptor left for it")
 	}
+	worst.end()
 	return nil
 }
 
+// end closes a connection; its place is free at once.
+func (p *peer) end() {
+	delete(p.server.peers, p.number)
+	if p.conn != nil {
+		_ = p.conn.Close() // done after the turn
+	}
+}
+
 func (p *peer) closed(error) {
 	s := p.server
 	p.shut(&s.pool)
 	delete(s.peers, p.number)
-	for _, t := range s.tasks.InOrder() { // a connection ends seldom while tasks are open on it
-		if p.open[t.Number] == t {
-			s.gone(t)
-		}
+	for _, number := range slices.Sorted(maps.Keys(p.open)) {
+		s.gone(p.open[number])
 	}
+	clear(p.open)
 }
 
 func (p *peer) take(b []byte) (n int, err error) {
@@ -57,10 +93,17 @@
 	p.heard = s.now()
 	for n < len(b) {
 		m, size, err := rpc.Next(b[n:])
-		if err != nil || size == 0 {
+		if err != nil {
 			return n, err
 		}
+		if size == 0 {
+			if p.half == 0 || n > 0 {
+				p.half = p.heard
+			}
+			return n, nil
+		}
 		n += size
+		p.half = 0
 		switch m.Kind {
 		case rpc.Task:
 			if err := p.task(&m); err != nil {
@@ -72,6 +115,7 @@
 				s.gone(t)
 			}
 		case rpc.Check:
+			p.known = true
 			s.scratch = rpc.PutWell(s.scratch[:0], m.Number, s.well, s.say)
 			s.write(&p.line, s.scratch)
 		}
@@ -96,6 +140,8 @@
 		bad = fmt.Errorf("unknown tenant %.40q", m.Tenant)
 	case len(p.open) >= mostOpen:
 		bad = fmt.Errorf("over %d tasks open", mostOpen)
+	case math.Abs(m.Came-s.now()) > clockApart:
+		bad = fmt.Errorf("it came %.0f s from now", m.Came-s.now())
 	case s.tasks.Get(m.ID) != nil:
 		bad = fmt.Errorf("the id of another task")
 	case s.module == nil: // no processor yet: it can't have run
@@ -105,8 +151,7 @@
 	}
 	if bad != nil {
 		s.counts.invalid++
-		if !p.warned { // once a connection
-			p.warned = true
+		if s.mayComplain() {
 			log.Printf("event=bad_task peer=%s err=%q", p.conn.RemoteAddr(), bad)
 		}
 		s.scratch = rpc.PutInvalid(s.scratch[:0], m.Number, s.say)
@@ -115,6 +160,7 @@
 	}
 	t := &memory.Task{ID: m.ID, Peer: p.number, Number: m.Number, Stage: stage, Subject: m.Subject,
 		Came: m.Came, Wait: m.Wait, Body: s.pool.Keep(m.Body)}
+	p.known = true
 	p.open[m.Number] = t
 	s.tasks.Add(t)
 	s.counts.read++
@@ -177,16 +223,6 @@
 
 func (s *Server) setFree(value float64) { s.say.Load = strconv.FormatFloat(value, 'f', -1, 64) }
 
-// inOrder lists the balancers' connections in the order of their opening.
-func (s *Server) inOrder() []*peer {
-	peers := make([]*peer, 0, len(s.peers))
-	for _, p := range s.peers {
-		peers = append(peers, p)
-	}
-	slices.SortFunc(peers, func(a, b *peer) int { return a.number - b.number })
-	return peers
-}
-
 // part asks a balancer to close a connection: it sends nothing new on it, so nothing can be lost.
 func (s *Server) part(p *peer) {
 	if !p.parting {
@@ -196,21 +232,24 @@
 	}
 }
 
-// sweep drops kept entries that have run out, and closes the connections that were silent for long: asked
-// first, by ourselves if that did nothing.
+// sweep drops kept entries that have run out, closes the connections that brought nothing in order in their
+// time, and those that were silent for long: asked first, by ourselves if that did nothing.
 func (s *Server) sweep() {
 	now := s.now()
-	for _, p := range s.inOrder() {
+	for _, p := range s.peers {
 		silent := now - p.heard
 		switch {
+		case !p.known && now-p.came > speakIn, p.half != 0 && now-p.half > speakIn && len(p.open) == 0:
+			s.counts.unspoken++
+			p.end()
 		case len(p.open) > 0 || silent < s.idle:
 		case !p.parting:
 			s.part(p)
 		case silent > s.idle+0.5 && p.conn != nil: // half a second is ample for a balancer that heeds
-			_ = p.conn.Close()
+			p.end()
 		}
 	}
 	s.rest(now)
 	s.kept.Sweep(now)
-	s.timers.Add(now+max(0.02, min(1, s.idle/4)), s.sweep)
+	s.timers.Add(now+max(0.02, min(sweepEvery, s.idle/4)), s.sweep)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -61,11 +61,13 @@
 	idle            float64 // connections silent for so long are closed
 	drainAt, killAt float64
 	counts          counts
+	complained      float64 // when a line about a peer's nonsense was last written
 }
 
 // counts is what happened since the last line of counts.
 type counts struct {
 	read, finished, rejected, abandoned, gone, invalid, calls, turns int
+	malformed, evicted, unspoken                                     int // connections: closed for another's sake, or as they brought nothing
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
 }
@@ -144,7 +146,9 @@
 		c.SetContext(p)
 	}
 	if err := p.opened(c, to); err != nil {
-		log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), err)
+		if s.mayComplain() {
+			log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), err)
+		}
 		return nil, gnet.Close
 	}
 	return nil, gnet.None
@@ -166,7 +170,10 @@
 		_, _ = c.Discard(n) // n is no more than what is there
 	}
 	if err != nil {
-		log.Printf("event=bad_input peer=%s err=%q", c.RemoteAddr(), err)
+		s.counts.malformed++
+		if s.mayComplain() {
+			log.Printf("event=bad_input peer=%s err=%q", c.RemoteAddr(), err)
+		}
 		return gnet.Close
 	}
 	return gnet.None
@@ -296,16 +303,27 @@
 	}
 }
 
+// mayComplain bounds what a peer that sends nonsense costs the log: one line a second; the counts have the rest.
+func (s *Server) mayComplain() bool {
+	now := s.now()
+	if now < s.complained+1 {
+		return false
+	}
+	s.complained = now
+	return true
+}
+
 // countEvery is how often the line of counts is written: seldom enough to be read by people.
 const countEvery = 10
 
 func (s *Server) count() {
 	c := &s.counts
-	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d calls=%d turns=%d "+
-		"unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d buffers=%d memory_kb=%d well=%t load=%s",
-		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.calls, c.turns,
+	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d calls=%d turns=%d "+
+		"unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d evicted=%d "+
+		"unspoken=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
+		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed, c.calls, c.turns,
 		1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(), s.tasks.Len(), s.kept.Len(),
-		len(s.peers), s.pool.Out, residentKB(), s.well, s.say.Load)
+		len(s.peers), len(s.lanes.all), c.evicted, c.unspoken, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
 	*c = counts{}
 	s.timers.Add(s.now()+countEvery, s.count)
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -516,6 +516,48 @@
 	good.expect(answerTo(1) + finished + "\x01r")
 }
 
+func TestWhoBringsNothingInOrderIsClosed(t *testing.T) {
+	w := build(t, nil)
+	silent, half, odd, good := w.balancer(), w.balancer(), w.balancer(), w.balancer()
+	half.send("%s", frame(1, "a1", "x")[:40])
+	odd.send("%s", frame(1, "a2", "x", "recv", "1000")) // out of range: it would teach an age of decades
+	odd.expect(answerTo(1) + "\x92\xa7Invalid")
+	good.send("\x94\x00\x01\xa6isWell\x91\x80")
+	good.expect("\xc3\x80")
+	for _, bad := range []*end{silent, half, odd} {
+		if _, err := io.ReadAll(bad.in); err != nil {
+			t.Errorf("instead of its end: %v", err)
+		}
+	}
+	good.send("\x94\x00\x02\xa6isWell\x91\x80") // idle for as long
+	good.expect(answerTo(2) + "\xc0\x92\xc3\x80")
+}
+
+func TestWhoOnlyHoldsConnectionsKeepsNobodyOut(t *testing.T) {
+	w := build(t, func(s *life.Start) { s.Sockets = 64 })
+	check := "\x94\x00\x01\xa6isWell\x91\x80"
+	busy, idle := w.balancer(), w.balancer()
+	busy.send("%s", frame(1, "a1", "x"))
+	w.processor.wants("begin", "a1")
+	idle.send("%s", check)
+	idle.expect("\xc3\x80")
+	var silent []*end
+	for range w.server.mostPeers() {
+		silent = append(silent, w.balancer())
+		late := w.balancer()
+		late.send("%s", check)
+		late.expect("\xc3\x80")
+		late.Close()
+	}
+	if _, err := io.ReadAll(silent[0].in); err != nil {
+		t.Errorf("the first silent one: %v", err)
+	}
+	idle.send("%s", check)
+	idle.expect("\xc3\x80")
+	w.processor.complete(1, "a1", "done", "r")
+	busy.expect(answerTo(1) + finished + "\x01r\x80")
+}
+
 func TestMoreThanTheProtocolsTasksOnAConnection(t *testing.T) {
 	w := build(t, nil)
 	b := w.balancer()
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -166,10 +166,12 @@
 		m.Wait, err = number(s, -1e12, 1e12)
 		m.Wait, known = m.Wait/1000, 4
 	case "heap":
-		m.Memory, err = number(s, 0, 2000)
+		m.Memory, err = number(s, 1e-9, 2000)
 		known = 8
 	case "src":
-		m.Caller, err = strconv.Atoi(s)
+		if m.Caller, err = strconv.Atoi(s); m.Caller < 0 {
+			err = errors.New("under 0")
+		}
 	case "crit":
 		m.Rank, err = number(s, 0, 1)
 	case "org":
@@ -180,10 +182,10 @@
 	return known, err
 }
 
-func number(s string, least, most float64) (float64, error) {
+func number(s string, least, under float64) (float64, error) {
 	v, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(v) || v < least || v > most {
-		return 0, fmt.Errorf("%.20q is not a number from %g to %g", s, least, most)
+	if err != nil || math.IsNaN(v) || v < least || v >= under {
+		return 0, fmt.Errorf("%.20q is not a number from %g to under %g", s, least, under)
 	}
 	return v, nil
 }
