A call into a tier gets four mean calls of time at first, so one that hangs leaves time for another

At fault: choice.go, invoke, all that is left as the time-out. Ruled out: bad clients' tasks (a flooded server rejected 2).

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// A call into a tier that hangs is given up in time for another, which gets what is left; the first to be tried
+// again is one that may be, and only where typical calls are known.
+func TestAHungCallLeavesTimeForAnother(t *testing.T) {
+	for effect, want := range map[Effect]float64{Restartable: 0.4, SideEffecting: 1.9} {
+		p := warm(t, Site{Below: Tier, Stages: []Stage{{DueTime: 2, TimeLimit: 4, Utility: 1, Effect: effect}}})
+		call := func(id string) float64 {
+			p.tasks[id].where = "parked"
+			p.must(t, Event{Kind: Parked, ID: id})
+			return p.tasks[id].limit - p.now
+		}
+		for i := range 30 {
+			id := fmt.Sprint("a", i)
+			p.must(t, p.read(id, id, Task{Memory: 1, Wait: 2}))
+			if left := call(id); i == 0 && left < 1.9 {
+				t.Fatalf("the first call out for %.3f", left)
+			}
+			p.till(t, p.now+0.1)
+			p.tasks[id].where = "core"
+			p.must(t, Event{Kind: CallDone, ID: id, Outcome: Finished, Took: 0.1})
+			p.must(t, p.end(p.tasks[id], Finished))
+		}
+		p.must(t, p.read("hung", "hung", Task{Memory: 1, Wait: 2}))
+		if left := call("hung"); left < want-0.1 || left > want+0.1 {
+			t.Fatalf("effect %d: out for %.3f with 2 s left", effect, left)
+		}
+	}
+}
+
 func TestCallsStayUnderTheShare(t *testing.T) {
 	p := warm(t, Site{Cores: 6, Below: Shared, CallShare: 4})
 	for i := range 6 {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -176,7 +176,7 @@
 	leastCalls, mostCalls, callMost            float64
 	callLinger, creditFull, patience           float64 // patience is a sixth of the shortest due time
 	callers, idleMost, idle                    float64 // idle: connections silent for so long are closed
-	tellsWait, byWork                          bool
+	tellsWait, byWork, tier                    bool
 	stopping                                   Stopping
 	free                                       Free
 
@@ -211,7 +211,7 @@
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
-		callMost: math.Inf(1), patience: math.Inf(1), gauges: Gauges{Runnable: -1},
+		callMost: math.Inf(1), tier: site.Below == Tier, patience: math.Inf(1), gauges: Gauges{Runnable: -1},
 		callers: float64(site.Callers), idleMost: site.Idle, idle: site.Idle,
 		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
@@ -315,7 +315,7 @@
 
 func (s *Server) draining() bool { return !math.IsInf(s.killAt, 1) }
 
-// lastAnswer is when a draining server must have answered all: several ticks of any site before the kill.
+// lastAnswer is when a draining server must have answered all, several ticks of any site before the kill.
 func (s *Server) lastAnswer() float64 { return s.killAt - 0.03 }
 
 // read takes a task in. Its due moment never changes but for a drain.
@@ -497,12 +497,8 @@
 		return
 	}
 	s.shareTold = told
-	if s.free == Level {
-		told = 1 - told
-	} else if s.free == Credit {
-		told *= s.creditFull
-	}
-	s.act(Action{Kind: SetFree, Value: told})
+	values := map[Free]float64{Level: 1 - told, Credit: told * s.creditFull, Odds: told}
+	s.act(Action{Kind: SetFree, Value: values[s.free]})
 }
 
 // chance is a draw from 0 to under 1.
@@ -697,11 +693,10 @@
 		s.abandon(t)
 		return
 	}
-	walks := s.bySubject || s.idle == s.idleMost
 	s.unmet++
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !walks})
+		Flag: s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
 }
 
 // forget gives a task's entry in the table back.
@@ -722,8 +717,14 @@
 	}
 }
 
+// invoke lets a call out with the time left less the slush. Exception: in a tier that is not slow, four mean
+// calls where twice that is left and it may go again: a server there that died unseen would hold it for all.
 func (s *Server) invoke(t *task) {
-	s.act(Action{Kind: Call, ID: t.id, For: min(t.dueAt-s.now-slush, s.callMost)})
+	lasts, first := min(t.dueAt-s.now-slush, s.callMost), 4*s.call.mean
+	if s.tier && t.stage.Effect == Restartable && s.call.all.N >= 20 && !s.slow() && lasts > 2*first {
+		lasts = first
+	}
+	s.act(Action{Kind: Call, ID: t.id, For: lasts})
 }
 
 // linger counts a call that was given up for as long as it may still be held below.
