Reports of health wait for no answer; a gauge reading over 0.1 s old is none; unread output is bounded in all

At fault too: serve.go, freshen, gave a timer the last reading however old, and 256 KiB unread for each of 352 peers would pass 64 MB.

--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -96,7 +96,7 @@
 		l.leave()
 	}
 	if r := s.roster; r.conn != nil && r.to != b.Roster {
-		r.leave()
+		r.leave(errMoved)
 	}
 	for _, l := range slices.Clone(s.lanes.all) {
 		if l.conn != nil && l.to != b.Catalogue {
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -236,8 +236,15 @@
 // time, and those that were silent for long: asked first, by ourselves if that did nothing.
 func (s *Server) sweep() {
 	now := s.now()
+	unread, worst := 0, (*peer)(nil)
 	for _, p := range s.peers {
 		silent := now - p.heard
+		if p.conn != nil {
+			unread += p.conn.OutboundBuffered()
+			if worst == nil || worst.conn.OutboundBuffered() < p.conn.OutboundBuffered() {
+				worst = p
+			}
+		}
 		switch {
 		case !p.known && now-p.came > speakIn, p.half != 0 && now-p.half > speakIn && len(p.open) == 0:
 			s.counts.unspoken++
@@ -249,6 +256,9 @@
 			p.end()
 		}
 	}
+	if unread > int(s.start.Memory/8) {
+		worst.end()
+	}
 	s.rest(now)
 	s.kept.Sweep(now)
 	s.timers.Add(now+max(0.02, min(sweepEvery, s.idle/4)), s.sweep)
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"log"
+	"math"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -39,7 +40,7 @@
 	log.Printf("event=link_lost link=processor err=%q", &attemptError{sent, err})
 	l.shut(&l.server.pool)
 	l.up, l.fence = false, ""
-	l.server.gauges = choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1}
+	l.server.gaugesAt = math.Inf(-1)
 	l.server.dial(toProcessor, l, l.vain)
 	l.vain++
 }
@@ -144,6 +145,7 @@
 			l.confirmed = max(l.confirmed, read)
 		}
 	}
+	s.gaugesAt = s.now()
 	for i, name := range s.start.Gauges {
 		if i < len(n.Gauges) {
 			shale.SetGauge(&s.gauges, name, n.Gauges[i])
--- a/internal/serve/roster.go
+++ b/internal/serve/roster.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"errors"
 	"log"
 
 	"github.com/panjf2000/gnet/v2"
@@ -19,10 +20,11 @@
 	vain    int // links in a row on which no report was answered
 }
 
-const (
-	reportEvery = 1 // s; an entry lapses after three
-	answerIn    = 1 // s; a report unanswered for so long is taken as lost, with its link
-)
+// reportEvery is in seconds; an entry lapses after three. A report that has no answer when the next is due may
+// be lost, or counted all the same: the next goes over a new link, at once where health changed.
+const reportEvery = 1
+
+var errUnanswered = errors.New("the last report was not answered")
 
 func (r *rosterLink) opened(c gnet.Conn, to string) error {
 	r.conn, r.to, r.waits = c, to, false
@@ -42,10 +44,10 @@
 }
 
 // leave has the reports go over a new link.
-func (r *rosterLink) leave() {
+func (r *rosterLink) leave(err error) {
 	_ = r.conn.Close()
 	r.vain = 0
-	r.closed(errMoved)
+	r.closed(err)
 }
 
 // tell sends a report where one is due: when health changed, and every so often.
@@ -59,7 +61,12 @@
 		r.ticking = true
 		r.tick()
 	}
-	if r.conn == nil || r.waits || r.told == s.well && now < r.toldAt+reportEvery-0.05 {
+	due := now > r.toldAt+reportEvery-0.05
+	switch {
+	case r.conn == nil || r.told == s.well && !due:
+		return
+	case r.waits: // an answer may never come, and what was told of health may not wait for it
+		r.leave(errUnanswered)
 		return
 	}
 	r.waits, r.told, r.toldAt = true, s.well, now
@@ -70,9 +77,6 @@
 func (r *rosterLink) tick() {
 	s := r.server
 	s.timers.Add(s.now()+reportEvery, func() {
-		if r.conn != nil && r.waits && s.now() > r.toldAt+answerIn-0.05 {
-			_ = r.conn.Close()
-		}
 		r.tell()
 		r.tick()
 	})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -42,6 +42,7 @@
 	module        *choice.Server // nil until the processor is up
 	events, spare []choice.Event // of the next batch; of the last
 	gauges        choice.Gauges  // the latest
+	gaugesAt      float64        // when they were read
 	timers        memory.Timers
 	tasks         *memory.Tasks
 	kept          *memory.Kept
@@ -70,6 +71,8 @@
 	malformed, evicted, unspoken                                     int // connections: closed for another's sake, or as they brought nothing
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
+	gaugeAge        float64 // the oldest reading that a timer came with
+	blind           int     // timers that came with none
 }
 
 // New makes a server that has not started yet.
@@ -79,7 +82,7 @@
 		alarmAt: math.Inf(1), tasks: memory.NewTasks(), kept: memory.NewKept(),
 		calls: map[string]*call{}, peers: map[int]*peer{}, idle: start.Site.Idle,
 		drainAt: math.Inf(1), killAt: math.Inf(1),
-		gauges: choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1}}
+		gauges: noGauges(), gaugesAt: math.Inf(-1)}
 	s.book.Store(newBook(start.Addresses))
 	s.run = gnet.RunnableFunc(func(context.Context) error { return s.turn() })
 	s.processor = &processorLink{server: s}
@@ -236,6 +239,12 @@
 	return nil
 }
 
+// gaugesFor is how long a reading of the gauges tells of the present: one is asked for just before each timer,
+// so an older one means that the processor did not answer, which is no news of its load.
+const gaugesFor = 0.1
+
+func noGauges() choice.Gauges { return choice.Gauges{Busy: -1, Runnable: -1, Memory: -1, Conns: -1} }
+
 // freshen sets what an event says of the present.
 func (s *Server) freshen(e *choice.Event, now float64) {
 	switch e.Kind {
@@ -249,7 +258,13 @@
 			}
 		}
 	case choice.Timer:
-		e.Gauges = s.gauges
+		if age := now - s.gaugesAt; age <= gaugesFor {
+			e.Gauges = s.gauges
+			s.counts.gaugeAge = max(s.counts.gaugeAge, age)
+		} else {
+			e.Gauges = noGauges()
+			s.counts.blind++
+		}
 	}
 }
 
@@ -269,8 +284,9 @@
 	l.out.Clear(p)
 }
 
-// mostUnread bounds what waits for a peer that does not read: 32 results of 4 KiB, twice.
-const mostUnread = 256 << 10
+// mostUnread bounds what waits for a peer that does not read: 32 results of 4 KiB and what goes with them. All
+// together may leave an eighth of the memory unread, see sweep.
+const mostUnread = 136 << 10
 
 // write puts bytes on a connection at the end of the turn.
 func (s *Server) write(l *line, b []byte) {
@@ -320,10 +336,10 @@
 	c := &s.counts
 	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d calls=%d turns=%d "+
 		"unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d evicted=%d "+
-		"unspoken=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
+		"unspoken=%d gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
 		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed, c.calls, c.turns,
 		1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(), s.tasks.Len(), s.kept.Len(),
-		len(s.peers), len(s.lanes.all), c.evicted, c.unspoken, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
+		len(s.peers), len(s.lanes.all), c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
 	*c = counts{}
 	s.timers.Add(s.now()+countEvery, s.count)
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -21,6 +21,7 @@
 	"swiftcourse/choice"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/memory"
+	"swiftcourse/internal/wire/processor"
 )
 
 // patience is how long the tests wait for what must come; nothing is asserted of how soon it does.
@@ -612,6 +613,7 @@
 
 func (broken) Context() any                   { return broken{} }
 func (broken) Peek(int) ([]byte, error)       { return []byte("x"), nil }
+func (broken) Close() error                   { return nil }
 func (broken) RemoteAddr() net.Addr           { return &net.TCPAddr{} }
 func (broken) opened(gnet.Conn, string) error { return nil }
 func (broken) has(gnet.Conn) bool             { return true }
@@ -639,6 +641,17 @@
 	}
 }
 
+func TestAnOldReadingOfTheGaugesIsNone(t *testing.T) {
+	s := New(&life.Start{Gauges: []string{"runnable"}})
+	s.processor.used(&processor.Notice{Gauges: []float64{3}})
+	for after, want := range map[float64]float64{0.01: 3, 2: -1} {
+		e := choice.Event{Kind: choice.Timer}
+		if s.freshen(&e, s.gaugesAt+after); e.Gauges.Runnable != want {
+			t.Errorf("after %g s: %+v", after, e.Gauges)
+		}
+	}
+}
+
 func TestASecondNoticeChangesNothing(t *testing.T) {
 	s := New(&life.Start{Stop: 5})
 	s.leave(s.now())
@@ -650,21 +663,35 @@
 }
 
 func TestHealthIsReportedAtOnceAndOneReportAtATime(t *testing.T) {
-	s := New(&life.Start{})
+	log.SetOutput(io.Discard)
+	s := New(&life.Start{Addresses: life.Addresses{Roster: "127.0.0.9:1"}})
+	s.loop = stillLoop{}
 	s.module = choice.New(1, choice.Site{})
 	s.roster.conn = broken{}
 	reports := func() int { return bytes.Count(bytes.Join(s.roster.out.Parts(), nil), []byte("PUT ")) }
 	s.setWell(true)
-	s.setWell(false) // waits for the answer to the first
+	s.setWell(true) // nothing new
 	if reports() != 1 {
 		t.Errorf("%d reports", reports())
 	}
 	if n, err := s.roster.take([]byte("HTTP/1.1 204 No Content\r\n\r\n")); n != 27 || err != nil {
 		t.Errorf("%d, %v", n, err)
 	}
-	if text := string(bytes.Join(s.roster.out.Parts(), nil)); reports() != 2 || !strings.HasSuffix(text, `{"duty":"off"}`) {
-		t.Errorf("%q", text)
+	off := func(n int) {
+		t.Helper()
+		if text := string(bytes.Join(s.roster.out.Parts(), nil)); reports() != n || !strings.HasSuffix(text, `{"duty":"off"}`) {
+			t.Errorf("%q", text)
+		}
 	}
+	s.setWell(false)
+	off(2)
+	s.setWell(true) // while the answer may never come: over a new link
+	s.setWell(false)
+	if s.roster.conn != nil {
+		t.Error("waits for an answer")
+	}
+	_ = s.roster.opened(broken{}, "")
+	off(1)
 }
 
 func TestWhatWasUnsentDoesNotReachTheNextLink(t *testing.T) {
