A server off the list that reads nothing forgets how long tasks waited unread, and comes back

Ruled out: cores taken with no end (gateways went on), old gauges (5 ms). At fault: choice.go, tick: the learned wait was forgotten by 2% a tick, 9 s from 0.54 s to a sixth of the due time of 0.52 s. Now nothing read for 0.5 s drops it. A test that tables return to their start.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -162,6 +162,9 @@
 		if a := p.rejected["late59-0"]; p.a.share > 0.3 || !a.Flag || p.a.halted == some {
 			t.Fatalf("share %.2f, last answer %+v, off the list: %v", p.a.share, a, p.a.halted)
 		}
+		if p.till(t, p.now+0.8); p.a.halted { // off the list nothing comes, so nothing waits unread
+			t.Fatal("still off the list after 0.8 s without a task")
+		}
 	}
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -215,8 +215,7 @@
 		callers: float64(site.Callers), idleMost: site.Idle, idle: site.Idle,
 		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
-	// A full credit is no limit in use: 16 tasks a core, spread over the callers.
-	s.creditFull = 16 * s.cores / max(1, float64(site.Callers))
+	s.creditFull = 16 * s.cores / max(1, float64(site.Callers)) // no limit in use, spread over the callers
 	// A tier has its own guard: only a flood is kept from it. A shared dependency gets sluggish long
 	// before it falls: a quarter of the share is let out however slow it is, and never all of it, as
 	// calls of the dead and those whose end is not known yet count too.
@@ -423,7 +422,10 @@
 	// in time for 0.5 s. Without that last test all servers would leave together under plain overload.
 	halted := s.n(onCore) >= s.cores && s.now-s.lastEnd > 4*s.typical ||
 		s.lag > s.patience && s.now-s.lastTimely > 0.5
-	s.lag *= 0.98 // forgotten in seconds where nothing is read any more
+	s.lag *= 0.98
+	if s.now-s.lastRead > 0.5 { // nothing waits unread, and none could be timely: what was learned is past
+		s.lag, s.lastTimely = 0, s.now
+	}
 	if halted != s.halted && !s.draining() {
 		s.act(Action{Kind: Health, Flag: !halted})
 	}
@@ -684,10 +686,9 @@
 	s.turnAway(t, min(s.adviceMax, max(0.1, s.n(held)*s.typical/s.runCap)))
 }
 
-// turnAway rejects a task that never ran. It asks not to try elsewhere while tasks wait unread for long
-// or hardly any traffic is wanted: then the others fare alike, and each further read takes from runs. Where
-// it opens a connection too, that holds as soon as tasks are turned away, unless callers pick by subject:
-// then a full server says little of the others. It may hurt where only this server is slow or crowded.
+// turnAway rejects a task that never ran. It asks not to try elsewhere while tasks wait unread for long or
+// little is wanted: the others fare alike and reads take from runs. Where a try opens a connection, always,
+// unless callers pick by subject. It may hurt where only this server is slow or crowded.
 func (s *Server) turnAway(t *task, advice float64) {
 	if t.repeated { // another try of it may have run
 		s.abandon(t)
@@ -699,7 +700,6 @@
 		Flag: s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
 }
 
-// forget gives a task's entry in the table back.
 func (s *Server) forget(t *task) {
 	if s.keys.Remove(t.id) {
 		s.act(Action{Kind: Forget, ID: t.id})
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -743,3 +743,78 @@
 		t.Errorf("%d vain links after one that came up", n)
 	}
 }
+
+func TestTablesReturnToTheirStart(t *testing.T) {
+	w := build(t, nil)
+	go func() { // the catalogue; every fifth connection breaks at its first call
+		for n := 1; ; n++ {
+			c, err := w.catalogues.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); n%5 > 0; {
+					line, err := in.ReadString('\n')
+					if _, err2 := in.ReadString('\n'); err != nil || err2 != nil {
+						return
+					}
+					fmt.Fprintf(c, "%s DATA 1\r\nd\r\n", strings.Fields(line)[1])
+				}
+				_, _ = c.Read(make([]byte, 1))
+			}()
+		}
+	}()
+	serial := 0
+	next := func() int { serial++; return serial }
+	for i := range 150 {
+		b, id := w.balancer(), fmt.Sprint("t", i)
+		b.send("%s", frame(1, id, "x", "ttl", "3000", "row", id))
+		w.processor.wants("begin", id)
+		if i%3 == 0 { // the balancer leaves; its run ends all the same
+			b.Close()
+			w.processor.complete(next(), id, "aborted", "")
+			continue
+		}
+		w.processor.ask(next(), id, "c")
+		w.processor.wants("answer", id)
+		w.processor.complete(next(), id, "done", "r")
+		b.expect(finished + "\x01r\x80")
+		b.Close()
+		if i%50 == 49 {
+			w.processor.Close()
+			w.processor = accept(t, w.processors)
+			w.processor.command(false)
+			w.processor.send(`{"msg":"hi","how":"seasoned","duration":1}` + "\n")
+			w.processor.command(true)
+		}
+	}
+	go func() { // goes on giving gauges, so that nothing waits for them
+		for {
+			if _, err := w.processor.in.ReadByte(); err != nil {
+				return
+			}
+		}
+	}()
+	var got, want = "", "0 tasks, 0 kept, 0 calls, 0 lanes, 0 peers, 0 buffers, 0 events"
+	for end := time.Now().Add(patience); got != want && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		told := make(chan string)
+		_ = w.server.loop.Execute(t.Context(), gnet.RunnableFunc(func(context.Context) error {
+			s := w.server
+			told <- fmt.Sprintf("%d tasks, %d kept, %d calls, %d lanes, %d peers, %d buffers, %d events", s.tasks.Len(),
+				s.kept.Len(), len(s.calls), len(s.lanes.all)+len(s.lanes.waiting), len(s.peers), s.pool.Out, len(s.events))
+			if n := s.timers.Len(); n > 10 {
+				told <- fmt.Sprint(n, " timers")
+			}
+			close(told)
+			return nil
+		}))
+		got = ""
+		for part := range told {
+			got += part
+		}
+	}
+	if got != want {
+		t.Error(got)
+	}
+}
