--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -104,7 +104,9 @@
 	case processor.Remark:
 		log.Printf("event=remark text=%q", n.How)
 	case processor.Refusal:
-		log.Printf("event=command_rejected command=%s call=%s", n.How, n.ID)
+		if s.counts.unrun++; s.mayComplain() { // tasks that no balancer sent make these by hundreds
+			log.Printf("event=command_rejected command=%s call=%s", n.How, n.ID)
+		}
 		if t != nil && t.Begun && t.Asked == 0 { // only its begin can be meant: it never ran
 			s.ended(t, choice.NeverStarted, 0)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -68,7 +68,7 @@
 // counts is what happened since the last line of counts.
 type counts struct {
 	read, finished, rejected, abandoned, gone, invalid, calls, turns int
-	malformed, evicted, unspoken                                     int // connections: closed for another's sake, or as they brought nothing
+	malformed, unrun, evicted, unspoken                              int // connections: closed for another's sake, or as they brought nothing
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
 	gaugeAge        float64 // the oldest reading that a timer came with
@@ -288,6 +288,10 @@
 // together may leave an eighth of the memory unread, see sweep.
 const mostUnread = 136 << 10
 
+// mostUnreadOurs is that for the links we dialled: the commands for some hundred tasks, as after a pause of the
+// other side, which a new link would only have to repeat.
+const mostUnreadOurs = 1 << 20
+
 // write puts bytes on a connection at the end of the turn.
 func (s *Server) write(l *line, b []byte) {
 	if l.conn == nil {
@@ -307,7 +311,11 @@
 	for _, l := range lines {
 		l.unsent = false
 		if c := l.conn; c != nil {
-			if _, err := c.Writev(l.out.Parts()); err == nil && c.OutboundBuffered() > mostUnread {
+			most := mostUnread
+			if l.to != "" {
+				most = mostUnreadOurs
+			}
+			if _, err := c.Writev(l.out.Parts()); err == nil && c.OutboundBuffered() > most {
 				log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), "it does not read")
 				_ = c.Close()
 			}
@@ -334,10 +342,10 @@
 
 func (s *Server) count() {
 	c := &s.counts
-	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d calls=%d turns=%d "+
+	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d unrun=%d calls=%d turns=%d "+
 		"unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d evicted=%d "+
 		"unspoken=%d gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
-		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed, c.calls, c.turns,
+		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed, c.unrun, c.calls, c.turns,
 		1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(), s.tasks.Len(), s.kept.Len(),
 		len(s.peers), len(s.lanes.all), c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
 	*c = counts{}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -608,6 +608,29 @@
 	}
 }
 
+func TestALinkOfOursMayLeaveMoreUnread(t *testing.T) {
+	s := New(&life.Start{})
+	s.loop = stillLoop{}
+	for _, to := range []string{"", "127.0.0.9:1"} {
+		c := &unread{}
+		l := &line{conn: c, to: to}
+		s.write(l, []byte("x"))
+		if s.flush(); c.closed != (to == "") {
+			t.Errorf("to %q: closed %v", to, c.closed)
+		}
+	}
+}
+
+// unread is a connection whose other side lags by more than a balancer may.
+type unread struct {
+	broken
+	closed bool
+}
+
+func (*unread) Writev([][]byte) (int, error) { return 0, nil }
+func (*unread) OutboundBuffered() int        { return mostUnread + 1 }
+func (c *unread) Close() error               { c.closed = true; return nil }
+
 // broken is a connection whose handling panics.
 type broken struct{ gnet.Conn }
 
