Nothing is read from a connection that we end; one so new that its message is on its way goes last

At fault: peer.go, end: gnet closes after the turn, so a task read in between was begun and had no answer; opened: among connections that brought nothing in order yet the newest went too, before its first message was read. Now an ended connection is let go of at once (its bytes are not read), one with something on its way out stays, and the first 0.1 s are protected.

--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log"
@@ -37,7 +38,9 @@
 	// speakIn is how soon a new connection has to bring something in order, and a message its rest. With the
 	// sweep's half second it ends 1 s before a peer that only wastes is owed its close. It may hurt a balancer that opens
 	// connections ahead of need, which then opens another, or whose machine stood still for as long.
-	speakIn    = 1.5
+	speakIn = 1.5
+	// speakSoon is within what a balancer's first message follows its connection, unless the loop is far behind.
+	speakSoon  = 0.1
 	sweepEvery = 0.5
 	// clockApart is how far from now a task may say that it came: more than any pause of a machine, as an age is learned from.
 	clockApart = 60
@@ -53,28 +56,47 @@
 	if len(s.peers) <= s.mostPeers() {
 		return nil
 	}
-	// One must go, of those with no task open: one that never brought anything in order before one that did,
-	// and then the one that was silent for longest. So who only holds connections keeps no balancer out.
-	var worst *peer
-	for _, q := range s.peers {
-		if len(q.open) == 0 && q != p && (worst == nil || !q.known && worst.known ||
-			q.known == worst.known && q.heard < worst.heard) {
-			worst = q
+	s.counts.evicted++
+	if worst := s.leastWanted(p); worst != nil {
+		worst.end()
+		return nil
+	}
+	return errors.New("no descriptor left for it")
+}
+
+// leastWanted is the connection that goes when another needs its place, of those with no task open: one that had
+// time to speak and brought nothing in order, else the one that was silent for longest; one so new that its first
+// message may be on its way goes last. So who only holds connections keeps no balancer out.
+func (s *Server) leastWanted(newcomer *peer) (worst *peer) {
+	now := s.now()
+	rank := func(p *peer) int {
+		switch {
+		case p.known:
+			return 1
+		case now-p.came > speakSoon:
+			return 0
 		}
+		return 2
 	}
-	s.counts.evicted++
-	if worst == nil {
-		return errors.New("no descriptor left for it")
+	for _, p := range s.peers {
+		if p.idle() && p != newcomer && (worst == nil ||
+			cmp.Or(cmp.Compare(rank(p), rank(worst)), cmp.Compare(p.heard, worst.heard)) < 0) {
+			worst = p
+		}
 	}
-	worst.end()
-	return nil
+	return worst
 }
 
-// end closes a connection; its place is free at once.
+// idle tells that nothing is owed on the connection.
+func (p *peer) idle() bool { return len(p.open) == 0 && !p.unsent }
+
+// end closes a connection. Its place is free at once, and nothing is read from it any more: the library closes it
+// a little later, and a task taken in by then would run and have no answer.
 func (p *peer) end() {
-	delete(p.server.peers, p.number)
-	if p.conn != nil {
-		_ = p.conn.Close() // done after the turn
+	c := p.conn
+	p.closed(nil)
+	if c != nil {
+		_ = c.Close()
 	}
 }
 
@@ -236,27 +258,26 @@
 // time, and those that were silent for long: asked first, by ourselves if that did nothing.
 func (s *Server) sweep() {
 	now := s.now()
-	unread, worst := 0, (*peer)(nil)
+	unread, most, worst := 0, 0, (*peer)(nil)
 	for _, p := range s.peers {
 		silent := now - p.heard
-		if p.conn != nil {
-			unread += p.conn.OutboundBuffered()
-			if worst == nil || worst.conn.OutboundBuffered() < p.conn.OutboundBuffered() {
-				worst = p
-			}
+		n := p.conn.OutboundBuffered()
+		if unread += n; n > most {
+			most, worst = n, p
 		}
 		switch {
-		case !p.known && now-p.came > speakIn, p.half != 0 && now-p.half > speakIn && len(p.open) == 0:
+		case !p.idle():
+		case !p.known && now-p.came > speakIn, p.half != 0 && now-p.half > speakIn:
 			s.counts.unspoken++
 			p.end()
-		case len(p.open) > 0 || silent < s.idle:
+		case silent < s.idle:
 		case !p.parting:
 			s.part(p)
-		case silent > s.idle+0.5 && p.conn != nil: // half a second is ample for a balancer that heeds
+		case silent > s.idle+0.5: // half a second is ample for a balancer that heeds
 			p.end()
 		}
 	}
-	if unread > int(s.start.Memory/8) {
+	if worst != nil && unread > int(s.start.Memory/8) {
 		worst.end()
 	}
 	s.rest(now)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -537,28 +537,73 @@
 func TestWhoOnlyHoldsConnectionsKeepsNobodyOut(t *testing.T) {
 	w := build(t, func(s *life.Start) { s.Sockets = 64 })
 	check := "\x94\x00\x01\xa6isWell\x91\x80"
-	busy, idle := w.balancer(), w.balancer()
+	busy := w.balancer()
 	busy.send("%s", frame(1, "a1", "x"))
 	w.processor.wants("begin", "a1")
-	idle.send("%s", check)
-	idle.expect("\xc3\x80")
-	var silent []*end
 	for range w.server.mostPeers() {
-		silent = append(silent, w.balancer())
+		w.balancer()
 		late := w.balancer()
 		late.send("%s", check)
 		late.expect("\xc3\x80")
 		late.Close()
 	}
-	if _, err := io.ReadAll(silent[0].in); err != nil {
-		t.Errorf("the first silent one: %v", err)
-	}
-	idle.send("%s", check)
-	idle.expect("\xc3\x80")
 	w.processor.complete(1, "a1", "done", "r")
 	busy.expect(answerTo(1) + finished + "\x01r\x80")
 }
 
+func TestWhoGoesFirstWhenDescriptorsRunShort(t *testing.T) {
+	s := New(&life.Start{})
+	now := s.now()
+	for i, p := range []*peer{ // as they should go
+		{came: now - 1, heard: now - 0.5}, // had its time and brought nothing
+		{came: now - 0.5, heard: now},
+		{came: now - 9, heard: now - 8, known: true}, // silent for longest
+		{came: now - 9, heard: now - 0.001, known: true},
+		{came: now, heard: now}, // its first message may be on its way
+		{came: now - 9, heard: now - 9, open: map[uint64]*memory.Task{1: nil}},
+		{came: now - 9, heard: now - 9, line: line{unsent: true}}, // an answer is on its way out
+	} {
+		p.server, p.number = s, i
+		s.peers[i] = p
+	}
+	for i := range 5 {
+		if p := s.leastWanted(nil); p == nil || p.number != i {
+			t.Fatalf("instead of %d goes %+v", i, p)
+		}
+		delete(s.peers, i)
+	}
+	if p := s.leastWanted(nil); p != nil {
+		t.Errorf("one that is owed something goes: %+v", p)
+	}
+}
+
+// sending is a connection on which a task has come.
+type sending struct {
+	broken
+	context any
+	bytes   string
+}
+
+func (c *sending) Context() any             { return c.context }
+func (c *sending) Peek(int) ([]byte, error) { return []byte(c.bytes), nil }
+func (*sending) Discard(int) (int, error)   { return 0, nil }
+
+func TestNothingIsReadFromAConnectionThatEnds(t *testing.T) {
+	s := New(&life.Start{Sockets: 256, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}})
+	s.loop, s.module = stillLoop{}, choice.New(1, choice.Site{})
+	for _, ends := range []bool{false, true} {
+		p := &peer{server: s, open: map[uint64]*memory.Task{}}
+		c := &sending{context: p, bytes: frame(1, fmt.Sprint("a", ends), "x")}
+		_ = p.opened(c, "")
+		if ends {
+			p.end() // the library closes it after this turn
+		}
+		if action := s.OnTraffic(c); (action == gnet.Close) != ends || s.tasks.Len() != 1 {
+			t.Errorf("ends %v: action %v, %d tasks", ends, action, s.tasks.Len())
+		}
+	}
+}
+
 func TestMoreThanTheProtocolsTasksOnAConnection(t *testing.T) {
 	w := build(t, nil)
 	b := w.balancer()
