A call over a connection that was forgotten while idle goes out once more, over a new one

Only calls that may run twice go over lanes that were idle, so nothing is at stake in a second one; once a call. A test fails without it.

--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -32,6 +32,7 @@
 	began float64
 	until float64
 	reach reach
+	again bool // it was let out a second time, as its lane had been idle and broke
 	over  bool
 }
 
@@ -87,8 +88,8 @@
 // effect would matter the lane is new: one that was idle may break in a way that tells nothing of the call.
 func (s *Server) route(c *call) {
 	now, from := s.now(), &s.lanes
-	again := s.start.Site.Stages[c.task.Stage].Effect == choice.Restartable
-	for i := len(from.idle) - 1; i >= 0 && again; i-- {
+	mayBreak := s.start.Site.Stages[c.task.Stage].Effect == choice.Restartable && !c.again
+	for i := len(from.idle) - 1; i >= 0 && mayBreak; i-- {
 		l := from.idle[i]
 		if now-l.quiet <= restFor && !slices.Contains(l.served, c.task.ID) {
 			from.idle = slices.Delete(from.idle, i, i+1)
@@ -216,6 +217,13 @@
 			&attemptError{c.reach, err})
 	}
 	c.lane = nil
+	// A lane that had been idle and breaks before its reply was most likely forgotten on the other side. Only calls
+	// that may run twice go over such lanes, so the call goes out once more, over a new one.
+	if l.rested > 0 && !c.again {
+		c.again, c.reach = true, unsent
+		s.route(c)
+		return
+	}
 	s.endCall(c, &attemptError{c.reach, err})
 }
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -309,6 +309,41 @@
 	one.expect("FETCH a3 ") // what kept to the order is used again
 }
 
+func TestACallOverAForgottenLaneGoesOutOnceMore(t *testing.T) {
+	w := build(t, nil)
+	b := w.balancer()
+	var lane *end
+	for i, task := range []string{"a1", "a2"} {
+		b.send("%s", frame(byte(i+1), task, "x"))
+		w.processor.wants("begin", task)
+		w.processor.ask(2*i+1, task, "c")
+		if i == 0 {
+			lane = accept(t, w.catalogues)
+		}
+		lane.expect("FETCH " + task)
+		lane.expect("\r\nc\r\n")
+		if i == 1 { // had been idle, and turns out to be forgotten
+			_ = lane.Conn.(*net.TCPConn).SetLinger(0)
+			lane.Close()
+			lane = accept(t, w.catalogues)
+			lane.expect("FETCH " + task)
+			lane.expect("\r\nc\r\n")
+		}
+		lane.send("%s DATA 1\r\nd\r\n", task)
+		w.processor.wants("answer", task)
+		w.processor.complete(2*i+2, task, "done", "r")
+		b.expect(finished + "\x01r\x80")
+	}
+	calls := make(chan int)
+	_ = w.server.loop.Execute(t.Context(), gnet.RunnableFunc(func(context.Context) error {
+		calls <- w.server.counts.calls
+		return nil
+	}))
+	if n := <-calls; n != 2 {
+		t.Errorf("the module let out %d calls for 2", n)
+	}
+}
+
 func TestCallsWaitForALane(t *testing.T) {
 	w := build(t, func(s *life.Start) { s.Sockets, s.Site.Cores = 64, 32 })
 	b := w.balancer()
