--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -516,6 +516,12 @@
 			break
 		}
 	}
+	w.processors = listen(t)
+	w.server.Move(w.addresses()) // while leaving
+	w.processor = accept(t, w.processors)
+	w.processor.command(false)
+	w.processor.send(`{"msg":"hi","how":"seasoned","duration":1}` + "\n")
+	w.processor.command(true)
 	w.processor.complete(1, "a1", "done", "r")
 	b.expect(answerTo(1) + finished + "\x01r")
 	b.expect("goaway\x90")
