--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -68,7 +68,8 @@
 // counts is what happened since the last line of counts.
 type counts struct {
 	read, finished, rejected, abandoned, gone, invalid, calls, turns int
-	malformed, unrun, evicted, unspoken                              int // connections: closed for another's sake, or as they brought nothing
+	malformed, unrun                                                 int // connections closed for their bytes; commands not carried out
+	evicted, unspoken                                                int // connections closed for another's sake, or as they brought nothing
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
 	gaugeAge        float64 // the oldest reading that a timer came with
@@ -342,12 +343,13 @@
 
 func (s *Server) count() {
 	c := &s.counts
-	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d unrun=%d calls=%d turns=%d "+
-		"unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d evicted=%d "+
-		"unspoken=%d gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
-		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed, c.unrun, c.calls, c.turns,
-		1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(), s.tasks.Len(), s.kept.Len(),
-		len(s.peers), len(s.lanes.all), c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
+	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d "+
+		"unrun=%d calls=%d turns=%d unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d "+
+		"evicted=%d unspoken=%d gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
+		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed,
+		c.unrun, c.calls, c.turns, 1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(),
+		s.tasks.Len(), s.kept.Len(), len(s.peers), len(s.lanes.all),
+		c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
 	*c = counts{}
 	s.timers.Add(s.now()+countEvery, s.count)
 }
