The share of traffic wanted falls by the part that went unmet, 7% a tick at most

Ruled out: descriptors, old gauges, links (all up within a ms). At fault: choice.go, tuneShare: one unmet task a tick lowered the share by 7% whether two or forty were read. Under 14 reads a tick nothing changes. A test fails without it.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -168,6 +168,20 @@
 	}
 }
 
+// One task in forty turned away lowers the share wanted by as much, not as if hardly any had been served.
+func TestFewUnmetOfManyLowerTheShareLittle(t *testing.T) {
+	for reads, want := range map[float64][2]float64{40: {0.5, 0.7}, 2: {0.2, 0.3}, 0: {0.2, 0.3}} {
+		a := warm(t, Site{Free: Odds}).a
+		for range 20 {
+			a.reads, a.unmet = reads, 1
+			a.tuneShare()
+		}
+		if a.share < want[0] || a.share > want[1] {
+			t.Errorf("one of %g a tick: share %.2f", reads, a.share)
+		}
+	}
+}
+
 func TestOverloadIsTurnedAwayWithAdvice(t *testing.T) {
 	p := warm(t, Site{AdviceMax: 1})
 	p.reads(t, "a", 40, Task{Memory: 1, Wait: 4})
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -200,7 +200,7 @@
 	share, shareTold                float64 // of the usual traffic wanted
 	lag                             float64 // mean time that tasks lately waited unread
 	lastRead, gap                   float64 // mean time between the last 50 or so reads
-	unmet                           int     // tasks since the last tick that were read or run for nothing
+	reads, unmet                    float64 // tasks since the last tick: read; read or run for nothing
 }
 
 // New makes an instance for a server that starts now.
@@ -339,6 +339,7 @@
 	if in.Tenant >= 0 && in.Tenant < len(s.tenants) && !s.tenants[in.Tenant].Take(s.now) {
 		t.value *= s.overShare
 	}
+	s.reads++
 	s.lag += 0.05 * (in.Age - s.lag)
 	s.gap += 0.02 * (s.now - s.lastRead - s.gap)
 	s.lastRead = s.now
@@ -489,18 +490,17 @@
 	case s.halted:
 		s.share = 0.05
 	case s.unmet > 0:
-		s.share = max(0.05, s.share*0.93)
+		s.share = max(0.05, s.share*(1-min(0.07, s.unmet/max(s.reads, 1)))) // few of many lower it little
 	case s.lag < s.patience:
 		s.share = min(1, s.share+0.02)
 	}
-	s.unmet = 0
+	s.unmet, s.reads = 0, 0
 	told := math.Round(s.share*50) / 50 // smaller steps would only add messages
-	if s.free == NoFree || told == s.shareTold {
-		return
+	if s.free != NoFree && told != s.shareTold {
+		s.shareTold = told
+		values := map[Free]float64{Level: 1 - told, Credit: told * s.creditFull, Odds: told}
+		s.act(Action{Kind: SetFree, Value: values[s.free]})
 	}
-	s.shareTold = told
-	values := map[Free]float64{Level: 1 - told, Credit: told * s.creditFull, Odds: told}
-	s.act(Action{Kind: SetFree, Value: values[s.free]})
 }
 
 // chance is a draw from 0 to under 1.
