--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// One task in forty turned away lowers the share wanted by as much, not as if hardly any had been served.
+// One task in forty turned away lowers the share wanted by as much, not as if hardly any had been finished.
 func TestFewUnmetOfManyLowerTheShareLittle(t *testing.T) {
 	for reads, want := range map[float64][2]float64{40: {0.5, 0.7}, 2: {0.2, 0.3}, 0: {0.2, 0.3}} {
 		a := warm(t, Site{Free: Odds}).a
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -242,7 +242,7 @@
 	return nil
 }
 
-// must fails the test on a broken rule.
+// must ends the test on a broken rule.
 func (p *plain) must(t rapid.TB, events ...Event) {
 	t.Helper()
 	if err := p.batch(events...); err != nil {
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -38,7 +38,7 @@
 	return site
 }
 
-// TestRules plays whatever the wire allows against the model: no task lost, no effect twice, safe
+// TestRules plays whatever the wire allows against the model: no task lost, no effect twice, clean
 // drains, nothing over its limits, and the same actions from the same events.
 func TestRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/cmd/swiftcourse/main.go
+++ b/cmd/swiftcourse/main.go
@@ -29,7 +29,7 @@
 	signals.Follow(server.Leave, func() {
 		to, ignored, err := start.Again(os.Getenv)
 		if err != nil {
-			log.Printf("event=reload_refused err=%q", err)
+			log.Printf("event=reload_rejected err=%q", err)
 			return
 		}
 		for _, key := range ignored {
--- a/internal/memory/kept.go
+++ b/internal/memory/kept.go
@@ -23,7 +23,7 @@
 const (
 	Pending Result = iota // held or running
 	Done                  // its result is there
-	Missing               // it failed, or was dropped
+	Missing               // it was abandoned, or dropped
 )
 
 // Kept is the table of kept tasks.
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -93,7 +93,7 @@
 	}
 	k.Ended("b", false, nil, 0)
 	if k.Earlier(0, "row", 6, 6) != "" {
-		t.Error("points to a failed one")
+		t.Error("points to an abandoned one")
 	}
 	if k.Sweep(10); k.Len() != 1 {
 		t.Error("swept too early")
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -17,12 +17,12 @@
 // late, is never taken for that of the task's next call.
 type lane struct {
 	line
-	server *Server
-	call   *call    // on its way over it, or waiting for it to open
-	served []string // the tasks whose calls went over it
-	quiet  float64  // since when it has been idle
-	rested float64  // how long it had been idle when its call went out
-	left   bool     // takes no further call
+	server  *Server
+	call    *call    // on its way over it, or waiting for it to open
+	carried []string // the tasks whose calls went over it
+	quiet   float64  // since when it has been idle
+	rested  float64  // how long it had been idle when its call went out
+	left    bool     // takes no further call
 }
 
 // call is a call on its way.
@@ -44,8 +44,8 @@
 }
 
 const (
-	// mostServed bounds what a lane remembers of its calls; a dial for every 32nd call is not felt.
-	mostServed = 32
+	// mostCarried bounds what a lane remembers of its calls; a dial for every 32nd call is not felt.
+	mostCarried = 32
 	// restFor is how long an idle lane is kept: the other side may forget it, and a call that finds that out
 	// is cut. It closes all after 10 s; under traffic the latest ones are used within a tenth of a second.
 	restFor = 1.0
@@ -91,7 +91,7 @@
 	mayBreak := s.start.Site.Stages[c.task.Stage].Effect == choice.Restartable && !c.again
 	for i := len(from.idle) - 1; i >= 0 && mayBreak; i-- {
 		l := from.idle[i]
-		if now-l.quiet <= restFor && !slices.Contains(l.served, c.task.ID) {
+		if now-l.quiet <= restFor && !slices.Contains(l.carried, c.task.ID) {
 			from.idle = slices.Delete(from.idle, i, i+1)
 			l.rested = now - l.quiet
 			l.carry(c)
@@ -113,7 +113,7 @@
 
 func (l *lane) carry(c *call) {
 	l.call, c.lane = c, l
-	l.served = append(l.served, c.task.ID)
+	l.carried = append(l.carried, c.task.ID)
 	if l.conn != nil {
 		l.send()
 	}
@@ -257,7 +257,7 @@
 		s.processor.reply(c.task, r.Body, false)
 	}
 	s.happens(choice.Event{Kind: choice.CallDone, ID: c.task.ID, Outcome: r.Outcome, Took: s.now() - c.began})
-	if l.left || len(l.served) >= mostServed {
+	if l.left || len(l.carried) >= mostCarried {
 		l.leave()
 		return
 	}
--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -48,7 +48,7 @@
 )
 
 // tryExit ends the process once nothing more may run and all is answered. Balancers are asked to close first:
-// what crosses such a close is sent once more elsewhere, and a refused connection proves that nothing ran.
+// what crosses such a close is sent once more elsewhere, and a connection not accepted proves that nothing ran.
 func (s *Server) tryExit() {
 	now := s.now()
 	after := min(s.drainAt+s.start.Site.DrainGrace+0.1, s.killAt-partBefore)
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -116,7 +116,7 @@
 var errMoved = errors.New("the other side has a new address")
 
 // dial opens a connection and hands it to the loop, where p meets it, and goes on for ever until it succeeds.
-// vain counts the links before that led nowhere; with once there is one dial, and p.closed hears if it fails.
+// vain counts the links before that led nowhere; with once there is one dial, and p.closed hears if it leads nowhere.
 func (s *Server) dial(link func(*book) string, p party, vain int) {
 	loop := s.loop
 	s.dialBy(func(ctx context.Context) (<-chan gnet.RegisteredResult, error) {
@@ -127,7 +127,7 @@
 
 type register func(context.Context) (<-chan gnet.RegisteredResult, error)
 
-// dialBy is dial where the loop is not known yet. The engine's own register is not safe for two at once.
+// dialBy is dial where the loop is not known yet. The engine's own register is not made for two at once.
 func (s *Server) dialBy(hand register, link func(*book) string, p party, vain int) {
 	go func() {
 		for n := vain; ; n++ {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -210,7 +210,7 @@
 func (s *Server) wake() {
 	if !s.turning && s.loop != nil {
 		s.turning = true
-		_ = s.loop.Execute(context.Background(), s.run) // fails only when the engine is down
+		_ = s.loop.Execute(context.Background(), s.run) // no error but when the engine is down
 	}
 }
 
--- a/internal/wire/rpc/msgpack.go
+++ b/internal/wire/rpc/msgpack.go
@@ -58,7 +58,7 @@
 	return binary.BigEndian.Uint64(wide[:])
 }
 
-// size reads a length; one over the bound is kept at it, for take to fail.
+// size reads a length; one over the bound is kept at it, for take to find.
 func (c *cursor) size(width int) int { return int(min(c.uint(width), MaxFrame+1)) }
 
 // read reads one value, of an array or dict only its head.
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -244,7 +244,7 @@
 // PutRejected appends the answer of a task that was turned away and never ran.
 func PutRejected(b []byte, id uint64, say Say) []byte { return putError(b, id, "Busy", say) }
 
-// PutAbandoned appends the answer of a task that was given up or failed.
+// PutAbandoned appends the answer of a task that was given up.
 func PutAbandoned(b []byte, id uint64, say Say) []byte { return putError(b, id, "Failed", say) }
 
 // PutInvalid appends the answer to a message that could not be taken as a task.
