Wire words end in internal/wire: names of fields, kinds and writers are ours everywhere else

Renames only: the settings' fields, the notices of the processor, what goes with answers, the writers of each package, the outcome Errored.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -35,7 +35,7 @@
 func TestShortOfTimeIsSentBackAtOnce(t *testing.T) {
 	p := warm(t, Site{AdviceMax: 1})
 	for i := range 20 {
-		p.run(t, fmt.Sprint("e", i), 0.01, Failed)
+		p.run(t, fmt.Sprint("e", i), 0.01, Errored)
 	}
 	p.reads(t, "short", 1, Task{Memory: 1, Wait: 0.3})
 	if a, ok := p.rejected["short0"]; !ok || a.For != 0 {
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -82,7 +82,7 @@
 // end makes the event of a run that ends.
 func (p *plain) end(t *plainTask, o Outcome) Event {
 	t.where = "over"
-	t.answered = t.answered || o == Finished || o == Failed
+	t.answered = t.answered || o == Finished || o == Errored
 	return Event{Kind: Ended, ID: t.id, Outcome: o, Took: 0.1}
 }
 
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -115,7 +115,7 @@
 		case task.where == "core" && what < 4 && (task.answered || task.gone):
 			events = append(events, p.end(task, Stopped))
 		case task.where == "core" && what < 4:
-			events = append(events, p.end(task, []Outcome{Finished, Finished, Finished, Failed}[what]))
+			events = append(events, p.end(task, []Outcome{Finished, Finished, Finished, Errored}[what]))
 		case task.where == "core" && what < 8 && task.stage.Calls && !task.answered && !task.gone:
 			task.where, task.unproven = "parked", false
 			events = append(events, Event{Kind: Parked, ID: id})
--- a/choice/types.go
+++ b/choice/types.go
@@ -117,7 +117,7 @@
 
 const (
 	Finished     Outcome = iota
-	Failed               // error
+	Errored              // error
 	Bounced              // turned away unseen
 	TimedOut             // abandoned by us
 	Unreachable          // never got there
--- a/internal/life/site.go
+++ b/internal/life/site.go
@@ -19,36 +19,36 @@
 
 // Site puts the settings in the module's words. A word not known maps to the zero value of its type.
 func Site(told *shale.Told) choice.Site {
-	f, c := &told.FamilyInfo, &told.Contract
+	f, c := &told.Own, &told.Contract
 	site := choice.Site{
-		OverShare: told.OverShareWorth, Servers: told.Servers, Callers: f.Upstreams, Cores: f.Cores,
-		ColdFrom: c.ColdFrom, DrainGrace: c.DrainGraceMs / 1000, AnswerSlack: c.GraceToAnswerMs / 1000,
-		Crowd: c.FallMultiple, CrowdFor: c.TipAfterMs / 1000,
-		Memory: f.MemLimitKb, RunFactor: f.RunFactor, KeyMemory: f.KbPerKey, Below: belows[f.Below],
-		CallShare: f.CallShare, CallFor: f.DepWindowMs / 1000, CallLinger: f.StaysForMs / 1000,
-		Stopping: stoppings[f.Preemption], Free: frees[f.Say],
-		ReuseFor: f.ShareForMs / 1000, TellsWait: f.PassesDeadline, Idle: f.IdleMs / 1000,
+		OverShare: told.OverShareUtility, Servers: told.Servers, Callers: f.Callers, Cores: f.Cores,
+		ColdFrom: c.ColdFrom, DrainGrace: c.DrainGraceMs / 1000, AnswerSlack: c.AnswerSlackMs / 1000,
+		Crowd: c.Crowd, CrowdFor: c.CrowdForMs / 1000,
+		Memory: f.MemoryKb, RunFactor: f.RunFactor, KeyMemory: f.KeyMemoryKb, Below: belows[f.Below],
+		CallShare: f.CallShare, CallFor: f.CallForMs / 1000, CallLinger: f.CallLingerMs / 1000,
+		Stopping: stoppings[f.Stopping], Free: frees[f.Free],
+		ReuseFor: f.ReuseForMs / 1000, TellsWait: f.TellsWait, Idle: f.IdleMs / 1000,
 		UtilityByWork: told.ValueBy == "work",
 	}
 	if f.Cold {
 		site.ColdFor = c.ColdMs / 1000
 	}
-	if told.Caps.RetryAfter {
-		site.AdviceMax = told.Caps.MaxRetryAfterMs / 1000
+	if told.Caps.Advice {
+		site.AdviceMax = told.Caps.AdviceMaxMs / 1000
 	}
 	for i, c := range told.Stages {
-		st := choice.Stage{Effect: effects[c.Effect], DueTime: c.ObjectiveMs / 1000, DueStretch: c.AimStretch,
-			TimeLimit: c.HardLimitMs / 1000, Utility: c.Worth, LateUtility: c.LateWorth, Window: c.WindowMs / 1000}
-		if i < len(f.ClassCalls) {
-			st.Calls = f.ClassCalls[i]
+		st := choice.Stage{Effect: effects[c.Effect], DueTime: c.DueTimeMs / 1000, DueStretch: c.DueStretch,
+			TimeLimit: c.TimeLimitMs / 1000, Utility: c.Utility, LateUtility: c.LateUtility, Window: c.WindowMs / 1000}
+		if i < len(f.StageCalls) {
+			st.Calls = f.StageCalls[i]
 		}
-		if i < len(f.ClassSkipWorth) {
-			st.SkipUtility = f.ClassSkipWorth[i]
+		if i < len(f.SkipUtility) {
+			st.SkipUtility = f.SkipUtility[i]
 		}
 		site.Stages = append(site.Stages, st)
 	}
 	for _, t := range told.Tenants {
-		site.Tenants = append(site.Tenants, choice.Tenant{Rate: t.QuotaPerS})
+		site.Tenants = append(site.Tenants, choice.Tenant{Rate: t.RatePerS})
 	}
 	return site
 }
--- a/internal/life/start.go
+++ b/internal/life/start.go
@@ -123,7 +123,7 @@
 	start := &Start{Name: f.Name, Listen: f.Listen,
 		Addresses: Addresses{Processor: f.Processor, Roster: f.Roster, Catalogue: f.Catalog},
 		Seed:      int64(seed), Stop: f.StopMs / 1000, Cores: f.Limits.Cores, Memory: int64(f.Limits.MemoryMb * (1 << 20)),
-		Sockets: f.Limits.Sockets, Site: Site(s), ColdFor: s.Contract.ColdMs / 1000, Gauges: s.FamilyInfo.Gauges,
+		Sockets: f.Limits.Sockets, Site: Site(s), ColdFor: s.Contract.ColdMs / 1000, Gauges: s.Own.Gauges,
 		Stages: map[string]int{}, Tenants: map[string]int{}}
 	for i, stage := range s.Stages {
 		if _, twice := start.Stages[stage.Name]; twice || stage.Name == "" {
@@ -201,7 +201,7 @@
 
 // fits checks what has to be there, the words, and what the sockets' protocol can't carry out.
 func fits(s *shale.Told, catalog string) error {
-	f := &s.FamilyInfo
+	f := &s.Own
 	word := func(key, word string, known bool) error {
 		if known {
 			return nil
@@ -209,10 +209,10 @@
 		return fmt.Errorf("settings.%s: %q is not known", key, word)
 	}
 	_, below := belows[f.Below]
-	_, stopping := stoppings[f.Preemption]
-	_, free := frees[f.Say]
+	_, stopping := stoppings[f.Stopping]
+	_, free := frees[f.Free]
 	if err := errors.Join(word("familyInfo.below", f.Below, below),
-		word("familyInfo.preemption", f.Preemption, stopping), word("familyInfo.say", f.Say, free)); err != nil {
+		word("familyInfo.preemption", f.Stopping, stopping), word("familyInfo.say", f.Free, free)); err != nil {
 		return err
 	}
 	switch {
@@ -220,10 +220,10 @@
 		return fmt.Errorf("%s: empty", stagesKey)
 	case f.Cores < 1:
 		return errors.New("settings.familyInfo.cores: under 1")
-	case f.MemLimitKb <= 0:
+	case f.MemoryKb <= 0:
 		return errors.New("settings.familyInfo.memLimitKb: not over 0")
-	case stoppings[f.Preemption] != choice.NoStop:
-		return fmt.Errorf("settings.familyInfo.preemption: %q can't be carried out over this protocol", f.Preemption)
+	case stoppings[f.Stopping] != choice.NoStop:
+		return fmt.Errorf("settings.familyInfo.preemption: %q can't be carried out over this protocol", f.Stopping)
 	case belows[f.Below] != choice.Nothing && catalog == "":
 		return fmt.Errorf("catalog: missing, though settings.familyInfo.below is %q", f.Below)
 	}
@@ -235,7 +235,7 @@
 			return fmt.Errorf("%seffect: %q is not known", key, c.Effect)
 		case effect == choice.Fingerprinted: // no field tells which tries belong together
 			return fmt.Errorf("%seffect: %q can't be carried out over this protocol", key, c.Effect)
-		case c.HardLimitMs <= 0 || c.ObjectiveMs <= 0:
+		case c.TimeLimitMs <= 0 || c.DueTimeMs <= 0:
 			return fmt.Errorf("%shardLimitMs or objectiveMs: not over 0", key)
 		}
 	}
--- a/internal/serve/actions.go
+++ b/internal/serve/actions.go
@@ -71,7 +71,7 @@
 	case memory.Done:
 		s.shared(t, result, choice.Finished, 0)
 	case memory.Missing:
-		s.shared(t, nil, choice.Failed, 0)
+		s.shared(t, nil, choice.Errored, 0)
 	}
 }
 
@@ -84,7 +84,7 @@
 	case choice.Finished:
 		s.finish(t, result)
 	default:
-		outcome = choice.Failed
+		outcome = choice.Errored
 		s.abandon(t)
 	}
 	s.happens(choice.Event{Kind: choice.Ended, ID: t.ID, Outcome: outcome, Took: took})
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -122,7 +122,7 @@
 func (l *lane) send() {
 	s, c := l.server, l.call
 	c.reach = sent
-	s.scratch = catalogue.PutFetch(s.scratch[:0], c.task.ID, c.until-s.now(), c.task.Ask)
+	s.scratch = catalogue.PutCall(s.scratch[:0], c.task.ID, c.until-s.now(), c.task.Ask)
 	s.write(&l.line, s.scratch)
 }
 
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -131,7 +131,7 @@
 			if err := p.task(&m); err != nil {
 				return n, err
 			}
-		case rpc.Forget:
+		case rpc.Gone:
 			if t := p.open[m.Number]; t != nil {
 				delete(p.open, m.Number)
 				s.gone(t)
@@ -208,7 +208,7 @@
 	s.quit(t)
 	if !t.Begun { // dropped without a run: who waits for its answer gets none
 		for _, id := range s.kept.Ended(t.ID, false, nil, 0) {
-			s.shared(s.tasks.Get(id), nil, choice.Failed, 0)
+			s.shared(s.tasks.Get(id), nil, choice.Errored, 0)
 		}
 	}
 	s.tasks.Drop(&s.pool, t)
@@ -239,17 +239,17 @@
 
 func (s *Server) reject(t *memory.Task, advice float64, last bool) {
 	say := s.say
-	say.Pushback, say.Stop = advice, last
+	say.Advice, say.Last = advice, last
 	s.answer(t, &s.counts.rejected, func(b []byte, id uint64) []byte { return rpc.PutRejected(b, id, say) })
 }
 
-func (s *Server) setFree(value float64) { s.say.Load = strconv.FormatFloat(value, 'f', -1, 64) }
+func (s *Server) setFree(value float64) { s.say.Free = strconv.FormatFloat(value, 'f', -1, 64) }
 
 // part asks a balancer to close a connection: it sends nothing new on it, so nothing can be lost.
 func (s *Server) part(p *peer) {
 	if !p.parting {
 		p.parting = true
-		s.scratch = rpc.PutGoaway(s.scratch[:0])
+		s.scratch = rpc.PutPart(s.scratch[:0])
 		s.write(&p.line, s.scratch)
 	}
 }
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -15,13 +15,13 @@
 	"swiftcourse/internal/wire/shale"
 )
 
-// processorLink is the link to the processor. It is up after `hi`; after a break, once the notices that were
+// processorLink is the link to the processor. It is up after the first word from there; after a break, once the notices that were
 // missed have come again, which a question for the gauges as a fence tells.
 type processorLink struct {
 	line
 	server    *Server
 	reader    processor.Reader
-	serial    int64 // of the last notice read
+	noticed   int64 // of the last notice read
 	up        bool  // commands may go out
 	fence     string
 	vain      int // links in a row that never came up
@@ -31,8 +31,8 @@
 
 func (l *processorLink) opened(c gnet.Conn, to string) error {
 	l.conn, l.to = c, to
-	log.Printf("event=link_open link=processor serial=%d", l.serial)
-	l.put(processor.PutHello(nil, l.serial))
+	log.Printf("event=link_open link=processor notice=%d", l.noticed)
+	l.put(processor.PutResume(nil, l.noticed))
 	return nil
 }
 
@@ -78,10 +78,10 @@
 			return n, err
 		}
 		n += end + 1
-		if notice.Serial > 0 && notice.Serial <= l.serial {
+		if notice.Number > 0 && notice.Number <= l.noticed {
 			continue // read before the break
 		}
-		l.serial = max(l.serial, notice.Serial)
+		l.noticed = max(l.noticed, notice.Number)
 		l.handle(&notice)
 	}
 }
@@ -98,52 +98,52 @@
 			return
 		}
 		l.fence = "fence-" + strconv.Itoa(l.commands)
-		l.put(processor.PutUsage(nil, l.fence))
-	case processor.Used:
-		l.used(n)
+		l.put(processor.PutAskGauges(nil, l.fence))
+	case processor.Measured:
+		l.measured(n)
 	case processor.Remark:
-		log.Printf("event=remark text=%q", n.How)
-	case processor.Refusal:
+		log.Printf("event=remark text=%q", n.Word)
+	case processor.Rejection:
 		if s.counts.unrun++; s.mayComplain() { // tasks that no balancer sent make these by hundreds
-			log.Printf("event=command_rejected command=%s call=%s", n.How, n.ID)
+			log.Printf("event=command_rejected command=%s call=%s", n.Word, n.ID)
 		}
 		if t != nil && t.Begun && t.Asked == 0 { // only its begin can be meant: it never ran
 			s.ended(t, choice.NeverStarted, 0)
 		}
-	case processor.Complete:
+	case processor.Ended:
 		if t == nil || !t.Begun {
 			return
 		}
 		switch n.Outcome {
 		case choice.Finished:
-			s.finish(t, n.Blob)
-		case choice.Failed:
+			s.finish(t, n.Body)
+		case choice.Errored:
 			s.abandon(t)
 		}
-		for _, id := range s.kept.Ended(t.ID, n.Outcome == choice.Finished, n.Blob, s.now()+s.start.Site.ReuseFor) {
-			s.shared(s.tasks.Get(id), n.Blob, n.Outcome, n.Took)
+		for _, id := range s.kept.Ended(t.ID, n.Outcome == choice.Finished, n.Body, s.now()+s.start.Site.ReuseFor) {
+			s.shared(s.tasks.Get(id), n.Body, n.Outcome, n.Took)
 		}
 		s.ended(t, n.Outcome, n.Took)
-	case processor.Ask:
+	case processor.Parked:
 		if t == nil || !t.Begun {
 			return
 		}
 		s.pool.Put(t.Ask)
 		s.pool.Put(t.Reply)
-		t.Asked, t.Ask, t.Reply, t.Replied = n.Serial, s.pool.Keep(n.Blob), nil, false
+		t.Asked, t.Ask, t.Reply, t.Replied = n.Number, s.pool.Keep(n.Body), nil, false
 		s.happens(choice.Event{Kind: choice.Parked, ID: n.ID})
 	}
 }
 
-func (l *processorLink) used(n *processor.Notice) {
+func (l *processorLink) measured(n *processor.Notice) {
 	s := l.server
 	switch {
-	case n.Cookie == l.fence && l.fence != "":
+	case n.Tag == l.fence && l.fence != "":
 		l.fence, l.up = "", true
-		log.Printf("event=link_up link=processor serial=%d", l.serial)
+		log.Printf("event=link_up link=processor notice=%d", l.noticed)
 		l.repeat()
 	case l.up:
-		if read, err := strconv.Atoi(n.Cookie); err == nil {
+		if read, err := strconv.Atoi(n.Tag); err == nil {
 			l.confirmed = max(l.confirmed, read)
 		}
 	}
@@ -172,7 +172,7 @@
 
 func (l *processorLink) askGauges() {
 	if l.up {
-		l.server.scratch = processor.PutUsage(l.server.scratch[:0], strconv.Itoa(l.commands))
+		l.server.scratch = processor.PutAskGauges(l.server.scratch[:0], strconv.Itoa(l.commands))
 		l.put(l.server.scratch)
 	}
 }
@@ -186,17 +186,17 @@
 
 func (l *processorLink) sendBegin(t *memory.Task) {
 	t.Sent = l.command(func(b []byte) []byte {
-		return processor.PutBegin(b, t.ID, l.server.start.StageNames[t.Stage], t.Body)
+		return processor.PutStart(b, t.ID, l.server.start.StageNames[t.Stage], t.Body)
 	})
 }
 
 // reply settles the call that a run waits for, with the reply or without one.
-func (l *processorLink) reply(t *memory.Task, body []byte, without bool) {
+func (l *processorLink) reply(t *memory.Task, body []byte, skip bool) {
 	if t.Asked == 0 || t.Replied {
 		return
 	}
 	t.Replied = true
-	if !without {
+	if !skip {
 		t.Reply = l.server.pool.Keep(body)
 	}
 	l.sendReply(t)
@@ -205,9 +205,9 @@
 func (l *processorLink) sendReply(t *memory.Task) {
 	t.Sent = l.command(func(b []byte) []byte {
 		if t.Reply == nil {
-			return processor.PutWithout(b, t.ID, t.Asked)
+			return processor.PutSkip(b, t.ID, t.Asked)
 		}
-		return processor.PutAnswer(b, t.ID, t.Reply)
+		return processor.PutReply(b, t.ID, t.Reply)
 	})
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -349,7 +349,7 @@
 		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed,
 		c.unrun, c.calls, c.turns, 1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(),
 		s.tasks.Len(), s.kept.Len(), len(s.peers), len(s.lanes.all),
-		c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Load)
+		c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Free)
 	*c = counts{}
 	s.timers.Add(s.now()+countEvery, s.count)
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -752,7 +752,7 @@
 
 func TestAnOldReadingOfTheGaugesIsNone(t *testing.T) {
 	s := New(&life.Start{Gauges: []string{"runnable"}})
-	s.processor.used(&processor.Notice{Gauges: []float64{3}})
+	s.processor.measured(&processor.Notice{Gauges: []float64{3}})
 	for after, want := range map[float64]float64{0.01: 3, 2: -1} {
 		e := choice.Event{Kind: choice.Timer}
 		if s.freshen(&e, s.gaugesAt+after); e.Gauges.Runnable != want {
--- a/internal/wire/catalogue/catalogue.go
+++ b/internal/wire/catalogue/catalogue.go
@@ -26,7 +26,7 @@
 
 // What each word proves: only the first two of the others say that the call never ran.
 var ends = map[string]choice.Outcome{"DATA": choice.Finished, "LATER": choice.Bounced, "NOUSE": choice.Bounced,
-	"FAULT": choice.Failed, "TOOSLOW": choice.TimedOut}
+	"FAULT": choice.Errored, "TOOSLOW": choice.TimedOut}
 
 // Next reads the reply at the start of b and tells how long it is: 0 while it is not whole.
 func Next(b []byte) (r Reply, n int, err error) {
@@ -63,8 +63,8 @@
 	return r, n + size + 2, nil
 }
 
-// PutFetch appends a call that waits for so many seconds.
-func PutFetch(b []byte, id string, wait float64, body []byte) []byte {
+// PutCall appends a call that waits for so many seconds.
+func PutCall(b []byte, id string, wait float64, body []byte) []byte {
 	b = append(append(append(b, "FETCH "...), id...), ' ')
 	b = strconv.AppendInt(b, int64(max(1, math.Floor(wait*1000))), 10)
 	b = strconv.AppendInt(append(b, ' '), int64(len(body)), 10)
--- a/internal/wire/catalogue/catalogue_test.go
+++ b/internal/wire/catalogue/catalogue_test.go
@@ -22,7 +22,7 @@
 		"a DATA 0\r\n\r\n":       {"a", choice.Finished, []byte{}},
 		"a LATER\r\n":            {"a", choice.Bounced, nil},
 		"a NOUSE\r\n":            {"a", choice.Bounced, nil},
-		"a FAULT\r\n":            {"a", choice.Failed, nil},
+		"a FAULT\r\n":            {"a", choice.Errored, nil},
 		"a TOOSLOW\r\n":          {"a", choice.TimedOut, nil},
 	} {
 		for cut := range text {
@@ -50,10 +50,10 @@
 }
 
 func TestCalls(t *testing.T) {
-	if got := string(PutFetch(nil, "a", 0.2509, []byte("xy"))); got != "FETCH a 250 2\r\nxy\r\n" {
+	if got := string(PutCall(nil, "a", 0.2509, []byte("xy"))); got != "FETCH a 250 2\r\nxy\r\n" {
 		t.Errorf("%q", got)
 	}
-	if got := string(PutFetch(nil, "a", -1, nil)); got != "FETCH a 1 0\r\n\r\n" {
+	if got := string(PutCall(nil, "a", -1, nil)); got != "FETCH a 1 0\r\n\r\n" {
 		t.Errorf("%q", got)
 	}
 }
--- a/internal/wire/processor/processor.go
+++ b/internal/wire/processor/processor.go
@@ -20,32 +20,32 @@
 type Kind uint8
 
 const (
-	Other    Kind = iota // of a name not known here
-	Up                   // the answer to hello
-	Complete             // a run is over
-	Ask                  // a run waits for a call
-	Used                 // the gauges
-	Refusal              // a command was not carried out
+	Other     Kind = iota // of a name not known here
+	Up                    // the answer to hello
+	Ended                 // a run is over
+	Parked                // a run waits for a call
+	Measured              // the gauges
+	Rejection             // a command was not carried out
 	Remark
 )
 
-var kinds = map[string]Kind{"hi": Up, "complete": Complete, "ask": Ask, "used": Used, "reject": Refusal,
+var kinds = map[string]Kind{"hi": Up, "complete": Ended, "ask": Parked, "used": Measured, "reject": Rejection,
 	"remark": Remark}
 
-var ends = map[string]choice.Outcome{"done": choice.Finished, "crashed": choice.Failed,
+var ends = map[string]choice.Outcome{"done": choice.Finished, "crashed": choice.Errored,
 	"aborted": choice.Stopped, "stale": choice.NeverStarted}
 
 // Notice is one line from the processor.
 type Notice struct {
 	Kind    Kind
-	Serial  int64 // 0 where the line bears none
+	Number  int64 // 0 where the line bears none
 	ID      string
 	Outcome choice.Outcome // of a run
 	Cold    bool           // with Up: it had just started, and was cold then
-	How     string         // as it came
+	Word    string         // as it came
 	Took    float64        // seconds
-	Blob    []byte
-	Cookie  string
+	Body    []byte
+	Tag     string
 	Gauges  []float64 // in the order of the settings
 }
 
@@ -63,20 +63,20 @@
 		return n, errors.New("line is not a JSON object")
 	}
 	get := func(key string) string { return string(v.GetStringBytes(key)) }
-	n = Notice{Kind: kinds[get("msg")], Serial: v.GetInt64("serial"), ID: get("call"), How: get("how"),
-		Took: v.GetFloat64("duration") / 1000, Cookie: get("cookie")}
+	n = Notice{Kind: kinds[get("msg")], Number: v.GetInt64("serial"), ID: get("call"), Word: get("how"),
+		Took: v.GetFloat64("duration") / 1000, Tag: get("cookie")}
 	switch n.Kind {
 	case Up:
-		n.Cold = n.How == "fresh"
-		if !n.Cold && n.How != "seasoned" {
-			return n, fmt.Errorf("hi with unknown state %.20q", n.How)
+		n.Cold = n.Word == "fresh"
+		if !n.Cold && n.Word != "seasoned" {
+			return n, fmt.Errorf("hi with unknown state %.20q", n.Word)
 		}
-	case Complete:
+	case Ended:
 		var known bool
-		if n.Outcome, known = ends[n.How]; !known {
-			n.Outcome = choice.Failed // a word not known yet proves nothing, as an error does
+		if n.Outcome, known = ends[n.Word]; !known {
+			n.Outcome = choice.Errored // a word not known yet proves nothing, as an error does
 		}
-	case Used:
+	case Measured:
 		r.gauges = r.gauges[:0]
 		for _, g := range v.GetArray("stats") {
 			r.gauges = append(r.gauges, g.GetFloat64())
@@ -87,35 +87,35 @@
 		if r.blob, err = base64.StdEncoding.AppendDecode(r.blob[:0], coded); err != nil {
 			return n, errors.New("blob is not base64")
 		}
-		n.Blob = r.blob
+		n.Body = r.blob
 	}
 	return n, nil
 }
 
-// PutHello appends the first line on a link: the last notice that was read.
-func PutHello(b []byte, serial int64) []byte {
+// PutResume appends the first line on a link: the last notice that was read.
+func PutResume(b []byte, serial int64) []byte {
 	return append(strconv.AppendInt(append(b, `{"msg":"hello","serial":`...), serial, 10), "}\n"...)
 }
 
-// PutBegin appends the command to run a task.
-func PutBegin(b []byte, id, stage string, body []byte) []byte {
+// PutStart appends the command to run a task.
+func PutStart(b []byte, id, stage string, body []byte) []byte {
 	b = putText(append(b, `{"msg":"begin","call":`...), id)
 	return putBlob(putText(append(b, `,"service":`...), stage), body)
 }
 
-// PutAnswer appends the reply to the call that a run waits for.
-func PutAnswer(b []byte, id string, reply []byte) []byte {
+// PutReply appends the reply to the call that a run waits for.
+func PutReply(b []byte, id string, reply []byte) []byte {
 	return putBlob(putText(append(b, `{"msg":"answer","call":`...), id), reply)
 }
 
-// PutWithout appends the command to go on without the call that notice serial asked for.
-func PutWithout(b []byte, id string, serial int64) []byte {
+// PutSkip appends the command to go on without the call that notice serial asked for.
+func PutSkip(b []byte, id string, serial int64) []byte {
 	b = putText(append(b, `{"msg":"without","call":`...), id)
 	return append(strconv.AppendInt(append(b, `,"serial":`...), serial, 10), "}\n"...)
 }
 
-// PutUsage appends the question for the gauges.
-func PutUsage(b []byte, cookie string) []byte {
+// PutAskGauges appends the question for the gauges.
+func PutAskGauges(b []byte, cookie string) []byte {
 	return append(putText(append(b, `{"msg":"usage","cookie":`...), cookie), "}\n"...)
 }
 
--- a/internal/wire/processor/processor_test.go
+++ b/internal/wire/processor/processor_test.go
@@ -18,23 +18,23 @@
 func TestLines(t *testing.T) {
 	var r Reader
 	for line, want := range map[string]Notice{
-		`{"msg":"hi","how":"fresh","duration":1500}`:  {Kind: Up, Cold: true, How: "fresh", Took: 1.5},
-		`{"msg":"hi","how":"seasoned","duration":0}`:  {Kind: Up, How: "seasoned"},
-		`{"msg":"remark","serial":4,"how":"x","z":1}`: {Kind: Remark, Serial: 4, How: "x"},
-		`{"msg":"complete","serial":2,"call":"a","how":"done","duration":12.5,"blob":"AP8="}`: {Kind: Complete,
-			Serial: 2, ID: "a", How: "done", Outcome: choice.Finished, Took: 0.0125, Blob: []byte{0, 255}},
-		`{"msg":"complete","call":"a","how":"crashed"}`: {Kind: Complete, ID: "a", How: "crashed", Outcome: choice.Failed},
-		`{"msg":"complete","call":"a","how":"aborted"}`: {Kind: Complete, ID: "a", How: "aborted", Outcome: choice.Stopped},
-		`{"msg":"complete","call":"a","how":"stale"}`:   {Kind: Complete, ID: "a", How: "stale", Outcome: choice.NeverStarted},
-		`{"msg":"complete","call":"a","how":"new"}`:     {Kind: Complete, ID: "a", How: "new", Outcome: choice.Failed},
-		`{"msg":"ask","serial":3,"call":"a","blob":""}`: {Kind: Ask, Serial: 3, ID: "a"},
-		`{"msg":"used","cookie":"7","stats":[0.5,3]}`:   {Kind: Used, Cookie: "7", Gauges: []float64{0.5, 3}},
-		`{"msg":"reject","how":"begin","call":"a"}`:     {Kind: Refusal, How: "begin", ID: "a"},
+		`{"msg":"hi","how":"fresh","duration":1500}`:  {Kind: Up, Cold: true, Word: "fresh", Took: 1.5},
+		`{"msg":"hi","how":"seasoned","duration":0}`:  {Kind: Up, Word: "seasoned"},
+		`{"msg":"remark","serial":4,"how":"x","z":1}`: {Kind: Remark, Number: 4, Word: "x"},
+		`{"msg":"complete","serial":2,"call":"a","how":"done","duration":12.5,"blob":"AP8="}`: {Kind: Ended,
+			Number: 2, ID: "a", Word: "done", Outcome: choice.Finished, Took: 0.0125, Body: []byte{0, 255}},
+		`{"msg":"complete","call":"a","how":"crashed"}`: {Kind: Ended, ID: "a", Word: "crashed", Outcome: choice.Errored},
+		`{"msg":"complete","call":"a","how":"aborted"}`: {Kind: Ended, ID: "a", Word: "aborted", Outcome: choice.Stopped},
+		`{"msg":"complete","call":"a","how":"stale"}`:   {Kind: Ended, ID: "a", Word: "stale", Outcome: choice.NeverStarted},
+		`{"msg":"complete","call":"a","how":"new"}`:     {Kind: Ended, ID: "a", Word: "new", Outcome: choice.Errored},
+		`{"msg":"ask","serial":3,"call":"a","blob":""}`: {Kind: Parked, Number: 3, ID: "a"},
+		`{"msg":"used","cookie":"7","stats":[0.5,3]}`:   {Kind: Measured, Tag: "7", Gauges: []float64{0.5, 3}},
+		`{"msg":"reject","how":"begin","call":"a"}`:     {Kind: Rejection, Word: "begin", ID: "a"},
 		`{"msg":"later"}`: {},
 	} {
 		got, err := r.Read([]byte(line))
-		if len(got.Blob) == 0 {
-			got.Blob = nil
+		if len(got.Body) == 0 {
+			got.Body = nil
 		}
 		if err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("%s:\ngot  %+v, %v\nwant %+v", line, got, err, want)
@@ -55,11 +55,11 @@
 		got  []byte
 		want string
 	}{
-		{PutHello(nil, 12), `{"msg":"hello","serial":12}`},
-		{PutBegin(nil, "a", `quo"ted`, []byte{0, 255}), `{"msg":"begin","call":"a","service":"quo\"ted","blob":"AP8="}`},
-		{PutAnswer(nil, "a", nil), `{"msg":"answer","call":"a","blob":""}`},
-		{PutWithout(nil, "a", 3), `{"msg":"without","call":"a","serial":3}`},
-		{PutUsage(nil, "x"), `{"msg":"usage","cookie":"x"}`},
+		{PutResume(nil, 12), `{"msg":"hello","serial":12}`},
+		{PutStart(nil, "a", `quo"ted`, []byte{0, 255}), `{"msg":"begin","call":"a","service":"quo\"ted","blob":"AP8="}`},
+		{PutReply(nil, "a", nil), `{"msg":"answer","call":"a","blob":""}`},
+		{PutSkip(nil, "a", 3), `{"msg":"without","call":"a","serial":3}`},
+		{PutAskGauges(nil, "x"), `{"msg":"usage","cookie":"x"}`},
 	} {
 		if string(c.got) != c.want+"\n" {
 			t.Errorf("got %s, want %s", c.got, c.want)
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -18,10 +18,10 @@
 type Kind uint8
 
 const (
-	Other  Kind = iota // whole, and passed over
-	Task               // a balancer sends a task
-	Forget             // it waits no longer for one
-	Check              // a health check
+	Other Kind = iota // whole, and passed over
+	Task              // a balancer sends a task
+	Gone              // it waits no longer for one
+	Check             // a health check
 )
 
 // Message is one whole message; its body is a view of the input.
@@ -91,7 +91,7 @@
 		}
 		p := cursor{b: params}
 		if list, number := p.read(), p.read(); p.err == nil && list.kind == array && number.kind == integer {
-			m.Kind, m.Number = Forget, uint64(number.num)
+			m.Kind, m.Number = Gone, uint64(number.num)
 		}
 	case sort.num == 1 && frame.n == 4: // an answer: nothing was asked
 		for range 3 {
@@ -202,9 +202,9 @@
 
 // Say is what an answer carries beside its result.
 type Say struct {
-	Load     string  // the free value, "" where none was set
-	Pushback float64 // seconds
-	Stop     bool
+	Free   string  // the free value, "" where none was set
+	Advice float64 // seconds
+	Last   bool
 }
 
 func (s Say) put(b []byte) []byte {
@@ -214,13 +214,13 @@
 		b = putText(putText(b, key), value)
 		n++
 	}
-	if s.Load != "" {
-		put("load", s.Load)
+	if s.Free != "" {
+		put("load", s.Free)
 	}
-	if s.Pushback > 0 {
-		put("pushback", strconv.FormatInt(int64(math.Ceil(s.Pushback*1000)), 10))
+	if s.Advice > 0 {
+		put("pushback", strconv.FormatInt(int64(math.Ceil(s.Advice*1000)), 10))
 	}
-	if s.Stop {
+	if s.Last {
 		put("stop", "1")
 	}
 	b[at] |= n
@@ -264,8 +264,8 @@
 	return say.put(append(putAnswer(b, id), 0xc0, 0x92, good))
 }
 
-// PutGoaway appends the notice that no new task is wanted on the connection.
-func PutGoaway(b []byte) []byte { return append(putText(append(b, 0x93, 2), "goaway"), 0x90) }
+// PutPart appends the notice that no new task is wanted on the connection.
+func PutPart(b []byte) []byte { return append(putText(append(b, 0x93, 2), "goaway"), 0x90) }
 
 func putAnswer(b []byte, id uint64) []byte {
 	b = append(b, 0x94, 1)
--- a/internal/wire/rpc/rpc_test.go
+++ b/internal/wire/rpc/rpc_test.go
@@ -47,7 +47,7 @@
 	}{
 		{task, Message{Kind: Task, Number: 7, ID: "9b1f03aa5c7e2d41", Stage: "checkout", Came: 1764576000.123,
 			Wait: 0.48, Caller: 4, Memory: 24.5, Rank: 0.625, Body: []byte{0, 10, 255}}},
-		{forget, Message{Kind: Forget, Number: 7}},
+		{forget, Message{Kind: Gone, Number: 7}},
 		{check, Message{Kind: Check, Number: 256}},
 		{"94 01 05 c0 91 c3", Message{}},                            // an answer to nothing
 		{"93 02 a3 6e6577 92 cb4000000000000000 d40102", Message{}}, // a notification not known
@@ -128,13 +128,13 @@
 }
 
 func TestAnswers(t *testing.T) {
-	say := Say{Load: "0.5", Pushback: 0.2501, Stop: true}
+	say := Say{Free: "0.5", Advice: 0.2501, Last: true}
 	for _, c := range []struct {
 		got  []byte
 		want string
 	}{
 		{PutResult(nil, 7, []byte{1}, Say{}), "94 01 07 c0 92 c40101 80"},
-		{PutResult(nil, 200, make([]byte, 256), Say{Load: "1"}),
+		{PutResult(nil, 200, make([]byte, 256), Say{Free: "1"}),
 			"94 01 ce000000c8 c0 92 c50100" + strings.Repeat("00", 256) + "81 a46c6f6164 a131"},
 		{PutRejected(nil, 7, say), "94 01 07 92 a442757379 83 a46c6f6164 a3302e35 a870757368 6261636b a3323531 " +
 			"a473746f70 a131 c0"},
@@ -142,7 +142,7 @@
 		{PutInvalid(nil, 1, Say{}), "94 01 01 92 a7496e76616c6964 80 c0"},
 		{PutWell(nil, 1, true, Say{}), "94 01 01 c0 92 c3 80"},
 		{PutWell(nil, 1, false, Say{}), "94 01 01 c0 92 c2 80"},
-		{PutGoaway(nil), "93 02 a6676f61776179 90"},
+		{PutPart(nil), "93 02 a6676f61776179 90"},
 	} {
 		if want := bytesOf(t, c.want); !bytes.Equal(c.got, want) {
 			t.Errorf("got %x\nwant %x", c.got, want)
--- a/internal/wire/shale/wire.go
+++ b/internal/wire/shale/wire.go
@@ -106,7 +106,7 @@
 }
 
 var outcomes = map[string]choice.Outcome{
-	"ok": choice.Finished, "error": choice.Failed, "full": choice.Bounced, "timeout": choice.TimedOut,
+	"ok": choice.Finished, "error": choice.Errored, "full": choice.Bounced, "timeout": choice.TimedOut,
 	"connect_failed": choice.Unreachable, "reset": choice.Cut, "cancelled": choice.Stopped,
 	"moot": choice.NeverStarted,
 }
@@ -127,7 +127,7 @@
 		if err := json.Unmarshal(f[3].MarshalTo(nil), e.Told); err != nil {
 			return fmt.Errorf("BORN settings: %w", err)
 		}
-		r.gauges[e.Who] = e.Told.FamilyInfo.Gauges
+		r.gauges[e.Who] = e.Told.Own.Gauges
 	case "CRASH_NOW":
 		e.Change = Wiped
 	case "REQ":
@@ -147,7 +147,7 @@
 		}
 		outcome, ok := outcomes[text(f, 3)]
 		if !ok {
-			outcome = choice.Failed // a word not known yet proves nothing, as an error does
+			outcome = choice.Errored // a word not known yet proves nothing, as an error does
 		}
 		e.Event.Outcome, e.Event.Took = outcome, number(f, 4)/1000
 	case "AT_CALL":
--- a/internal/wire/shale/wire_test.go
+++ b/internal/wire/shale/wire_test.go
@@ -21,7 +21,7 @@
 	if err != nil || len(b.Events) != 1 || b.Events[0].Change != Born || b.Events[0].Seed != 7 {
 		t.Fatalf("%+v, %v", b, err)
 	}
-	if s := b.Events[0].Told; s.FamilyInfo.Below != "shared" || s.FamilyInfo.Cores != 6 || s.Servers != 9 ||
+	if s := b.Events[0].Told; s.Own.Below != "shared" || s.Own.Cores != 6 || s.Servers != 9 ||
 		len(s.Stages) != 1 || s.Stages[0].Effect != "deduplicated" || s.Stages[0].WindowMs != 2000 {
 		t.Fatalf("%+v", s)
 	}
