--- a/cmd/swiftcourse/main.go
+++ b/cmd/swiftcourse/main.go
@@ -37,7 +37,7 @@
 		}
 		log.Printf("event=reload processor=%s catalogue=%s roster=%s", to.Processor, to.Catalogue, to.Roster)
 		server.Move(to)
-	})
+	}, server.Tell)
 	if err := server.Run(); err != nil {
 		log.Fatalf("event=end err=%q", err)
 	}
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,321 @@
+// Package fleet starts real servers as processes, each with stand-ins for all that it speaks with, on loopback.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"swiftcourse/internal/standin/balancer"
+	"swiftcourse/internal/standin/catalogue"
+	"swiftcourse/internal/standin/processor"
+	"swiftcourse/internal/standin/roster"
+	wire "swiftcourse/internal/wire/catalogue"
+	"swiftcourse/internal/wire/shale"
+)
+
+// Shape is how the servers of a fleet are to be.
+type Shape struct {
+	Program  string // the server's binary
+	Core     int    // that all of them share, under 0 where they may use any
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+	Stop     time.Duration
+	Told     shale.Told
+	Work     processor.Plan
+	Fate     func(n int, c wire.Call) catalogue.Fate // nil at the last tier
+	Log      io.Writer                               // what the servers say, nil where nobody reads it
+}
+
+// Server is one server with its stand-ins.
+type Server struct {
+	Name      string
+	Addr      string
+	Processor *processor.Processor
+	Catalogue *catalogue.Catalogue
+	Roster    *roster.Roster
+
+	process *exec.Cmd
+	folder  string
+	ended   chan struct{}
+	end     error
+	counts  chan map[string]string
+	mu      sync.Mutex
+	last    []string // the latest lines of its log
+}
+
+// patience is how long a server may take to start, to answer a question or to end.
+const patience = 20 * time.Second
+
+// Start starts n servers and waits until they are healthy.
+func Start(ctx context.Context, n int, shape Shape) (servers []*Server, err error) {
+	defer func() {
+		if err != nil {
+			End(servers)
+		}
+	}()
+	for i := range n {
+		s, err := start(ctx, fmt.Sprintf("n%d", i+1), shape)
+		if err != nil {
+			return servers, err
+		}
+		servers = append(servers, s)
+	}
+	for _, s := range servers {
+		if err := s.waitHealthy(ctx); err != nil {
+			return servers, err
+		}
+	}
+	return servers, nil
+}
+
+func start(ctx context.Context, name string, shape Shape) (s *Server, err error) {
+	s = &Server{Name: name, ended: make(chan struct{}), counts: make(chan map[string]string, 1)}
+	defer func() {
+		if err != nil {
+			s.close()
+		}
+	}()
+	if s.Processor, err = processor.Start("127.0.0.2:0", shape.Work); err != nil {
+		return nil, err
+	}
+	if s.Roster, err = roster.Start("127.0.0.3:0", nil); err != nil {
+		return nil, err
+	}
+	catalog := ""
+	if shape.Fate != nil {
+		if s.Catalogue, err = catalogue.Start("127.0.0.4:0", shape.Fate); err != nil {
+			return nil, err
+		}
+		catalog = s.Catalogue.Addr()
+	}
+	if s.Addr, err = free(); err != nil {
+		return nil, err
+	}
+	if s.folder, err = os.MkdirTemp("", "swiftlab-"); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": name, "listen": s.Addr, "processor": s.Processor.Addr(),
+		"roster": s.Roster.Addr(), "catalog": catalog, "seed": "8c1f30d27a5be964", "stop_ms": shape.Stop.Milliseconds(),
+		"limits":   map[string]any{"cores": shape.Cores, "memory_mb": shape.MemoryMB, "sockets": shape.Sockets},
+		"settings": shape.Told})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(s.folder, "config.json")
+	if err = os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	s.process = exec.CommandContext(ctx, shape.Program)
+	s.process.Env = append(os.Environ(), "RELAY_NAME="+name, "RELAY_LISTEN="+s.Addr, "RELAY_CONFIG="+path)
+	said, err := s.process.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err = onCore(shape.Core, s.process.Start); err != nil {
+		return nil, fmt.Errorf("%s: %w (make build makes it)", shape.Program, err)
+	}
+	go s.listen(said, shape.Log)
+	return s, nil
+}
+
+// free finds an address that nobody listens on. It is not where connections are dialled from, so nobody takes it by chance.
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.9:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// onCore starts a process that may use one core alone: it inherits what the thread that starts it may use.
+func onCore(core int, start func() error) error {
+	if core < 0 {
+		return start()
+	}
+	done := make(chan error)
+	go func() {
+		runtime.LockOSThread() // and not unlocked: the thread ends with the goroutine
+		var set unix.CPUSet
+		set.Set(core)
+		if err := unix.SchedSetaffinity(0, &set); err != nil {
+			done <- fmt.Errorf("core %d: %w", core, err)
+			return
+		}
+		done <- start()
+	}()
+	return <-done
+}
+
+// mostLines of a server's log are kept for the error when it ends before its time.
+const mostLines = 20
+
+func (s *Server) listen(said io.Reader, log io.Writer) {
+	lines := bufio.NewScanner(said)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if log != nil {
+			fmt.Fprintf(log, "%s %s\n", s.Name, line)
+		}
+		s.mu.Lock()
+		if len(s.last) == mostLines {
+			s.last = s.last[1:]
+		}
+		s.last = append(s.last, line)
+		s.mu.Unlock()
+		if strings.Contains(line, "event=counts ") {
+			select {
+			case <-s.counts: // nobody asked for that one
+			default:
+			}
+			s.counts <- fields(line)
+		}
+	}
+	s.end = s.process.Wait()
+	close(s.ended)
+}
+
+// fields reads the key=value words of a line.
+func fields(line string) map[string]string {
+	all := map[string]string{}
+	for _, word := range strings.Fields(line) {
+		if key, value, ok := strings.Cut(word, "="); ok {
+			all[key] = value
+		}
+	}
+	return all
+}
+
+func (s *Server) waitHealthy(ctx context.Context) error {
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if balancer.Healthy(s.Addr, time.Second) {
+			return nil
+		}
+		select {
+		case <-s.ended:
+			return fmt.Errorf("%s ended before it was healthy: %w\n%s", s.Name, errors.Join(s.end, ctx.Err()), s.Last())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("%s was not healthy within %s\n%s", s.Name, patience, s.Last())
+}
+
+// Last gives the latest lines of its log.
+func (s *Server) Last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.last, "\n")
+}
+
+// Counts asks for the line of counts, which has the time since the one before.
+func (s *Server) Counts() (map[string]string, error) {
+	select {
+	case <-s.counts:
+	default:
+	}
+	if err := s.process.Process.Signal(syscall.SIGUSR1); err != nil {
+		return nil, err
+	}
+	select {
+	case c := <-s.counts:
+		return c, nil
+	case <-s.ended:
+		return nil, fmt.Errorf("%s ended: %w", s.Name, s.end)
+	case <-time.After(patience):
+		return nil, fmt.Errorf("%s told no counts within %s", s.Name, patience)
+	}
+}
+
+// Number reads a number of the counts, 0 where it is not there.
+func Number(counts map[string]string, key string) float64 {
+	n, _ := strconv.ParseFloat(counts[key], 64)
+	return n
+}
+
+// Resident is its memory in bytes, as the system counts it.
+func (s *Server) Resident() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.process.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	var all, resident int64
+	if _, err := fmt.Sscan(string(text), &all, &resident); err != nil {
+		return 0, err
+	}
+	return resident * int64(os.Getpagesize()), nil
+}
+
+// ticksPerSecond is in what the system tells a process's time: a hundredth of a second on every Linux.
+const ticksPerSecond = 100
+
+// Used is how many seconds of a core it has used.
+func (s *Server) Used() (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.process.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(text), ") ") // its name may hold blanks
+	words := strings.Fields(rest)
+	if len(words) < 13 {
+		return 0, errors.New("stat is cut")
+	}
+	user, err1 := strconv.ParseFloat(words[11], 64)
+	system, err2 := strconv.ParseFloat(words[12], 64)
+	return (user + system) / ticksPerSecond, errors.Join(err1, err2)
+}
+
+// Leave tells it to leave and waits for its end, whose error it returns. It tells how long that took.
+func (s *Server) Leave() (time.Duration, error) {
+	from := time.Now()
+	if err := s.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return 0, err
+	}
+	select {
+	case <-s.ended:
+		return time.Since(from), s.end
+	case <-time.After(patience):
+		return 0, fmt.Errorf("%s did not leave within %s", s.Name, patience)
+	}
+}
+
+func (s *Server) close() {
+	if s.process != nil && s.process.Process != nil {
+		_ = s.process.Process.Kill() // it is gone where this fails
+		<-s.ended
+	}
+	if s.Processor != nil {
+		s.Processor.Close()
+	}
+	if s.Catalogue != nil {
+		s.Catalogue.Close()
+	}
+	if s.Roster != nil {
+		s.Roster.Close()
+	}
+	_ = os.RemoveAll(s.folder)
+}
+
+// End ends servers at once.
+func End(servers []*Server) {
+	for _, s := range servers {
+		s.close()
+	}
+}
--- a/internal/life/limits.go
+++ b/internal/life/limits.go
@@ -17,20 +17,26 @@
 	debug.SetMemoryLimit(s.Memory * 7 / 10)
 }
 
-// Signals are the notices to leave, and those that the configuration has changed.
-type Signals struct{ leave, reload chan os.Signal }
+// Signals are the notices to leave, those that the configuration has changed, and questions for the counts.
+type Signals struct{ leave, reload, tell chan os.Signal }
 
-// Hear takes the signals from now on; SIGHUP never ends the process. One that comes while another of its
+// Hear takes the signals from now on; SIGHUP and SIGUSR1 never end the process. One that comes while another of its
 // kind waits is one with it: the file is read after both.
 func Hear() Signals {
-	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(s.leave, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.tell, syscall.SIGUSR1)
 	return s
 }
 
 // Follow has the signals do something, those that came before too.
-func (s Signals) Follow(leave, reload func()) {
+func (s Signals) Follow(leave, reload, tell func()) {
+	go func() { // of its own, as it may wait for the loop
+		for range s.tell {
+			tell()
+		}
+	}()
 	go func() {
 		for {
 			select {
--- a/internal/life/start_test.go
+++ b/internal/life/start_test.go
@@ -133,8 +133,10 @@
 	for range 3 { // before anybody follows
 		_ = self.Signal(syscall.SIGHUP)
 	}
-	left, reloaded := make(chan bool, 9), make(chan bool, 9)
-	signals.Follow(func() { left <- true }, func() { reloaded <- true })
+	_ = self.Signal(syscall.SIGUSR1)
+	left, reloaded, told := make(chan bool, 9), make(chan bool, 9), make(chan bool, 9)
+	signals.Follow(func() { left <- true }, func() { reloaded <- true }, func() { told <- true })
+	<-told
 	<-reloaded
 	_ = self.Signal(syscall.SIGTERM)
 	<-left
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -69,3 +69,24 @@
 	}
 	o.parts = o.parts[:0]
 }
+
+// Shelf gives short lists of tasks and takes them back. The zero Shelf is empty.
+type Shelf struct{ free [][]*Task }
+
+// Get gives an empty list.
+func (s *Shelf) Get() []*Task {
+	if n := len(s.free); n > 0 {
+		l := s.free[n-1]
+		s.free = s.free[:n-1]
+		return l
+	}
+	return make([]*Task, 0, 4)
+}
+
+// Put takes a list back; nil is let go, and so is one that a burst made long.
+func (s *Shelf) Put(l []*Task) {
+	if l != nil && cap(l) <= 32 && len(s.free) < mostFree {
+		clear(l)
+		s.free = append(s.free, l[:0])
+	}
+}
--- a/internal/memory/tasks.go
+++ b/internal/memory/tasks.go
@@ -9,7 +9,7 @@
 // Task is what the server has to know of a task, from its reading until it is answered and its run is over.
 type Task struct {
 	ID      string
-	Peer    int    // connection that it came on
+	Peer    Name   // connection that it came on
 	Number  uint64 // of its message there
 	Stage   int
 	Subject string  // what a read is about
--- a/internal/serve/actions.go
+++ b/internal/serve/actions.go
@@ -23,14 +23,14 @@
 			s.setFree(a.Value)
 			continue
 		case choice.Idle:
-			s.idle = a.For
-			if s.idle <= 0 {
-				s.idle = s.start.Site.Idle
+			if a.For <= 0 {
+				a.For = s.start.Site.Idle
 			}
+			s.door.Idle(a.For)
 			continue
 		case choice.SetTimer:
 			label := a.Label
-			s.timers.Add(now+max(0, a.For-gaugeLead), s.processor.askGauges)
+			s.timers.Add(now+max(0, a.For-gaugeLead), s.processor.asking)
 			s.timers.Add(now+a.For, func() { s.happens(choice.Event{Kind: choice.Timer, Label: label}) })
 			continue
 		case choice.Note:
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -16,7 +16,7 @@
 // late or never costs that call alone, and no two calls of one task, so that a second copy of a reply, however
 // late, is never taken for that of the task's next call.
 type lane struct {
-	line
+	link
 	server  *Server
 	call    *call    // on its way over it, or waiting for it to open
 	carried []string // the tasks whose calls went over it
@@ -194,7 +194,7 @@
 }
 
 func (l *lane) opened(c gnet.Conn, to string) error {
-	l.conn, l.to = c, to
+	l.stands(c, to)
 	if l.call == nil {
 		return errNoCall
 	}
--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -43,23 +43,25 @@
 	// exitBefore is how long before the kill the process ends whatever is open; the module has answered all
 	// 30 ms before it.
 	exitBefore = 0.015
-	// partBefore leaves balancers time to close what they were asked to.
+	// partBefore leaves time to ask all balancers to close, and to close those that do not.
 	partBefore = 0.25
 )
 
-// tryExit ends the process once nothing more may run and all is answered. Balancers are asked to close first:
-// what crosses such a close is sent once more elsewhere, and a connection not accepted proves that nothing ran.
+// tryExit ends the process once nothing more may run, all is answered and all connections are closed. Balancers are asked to close
+// first: what crosses such a close is sent once more elsewhere, and a connection not accepted proves that nothing ran.
 func (s *Server) tryExit() {
 	now := s.now()
 	after := min(s.drainAt+s.start.Site.DrainGrace+0.1, s.killAt-partBefore)
 	if now >= after && s.tasks.Open() == 0 {
-		for _, p := range s.peers {
-			s.part(p)
-		}
-		if len(s.peers) == 0 {
+		if s.peers.Len() == 0 {
 			s.exit("all_closed")
 			return
 		}
+		if !s.parting {
+			s.parting = true
+			log.Printf("event=parting conns=%d kill_in_s=%.3f", s.peers.Len(), s.killAt-now)
+			s.door.LeaveAll()
+		}
 	}
 	if now >= s.killAt-exitBefore {
 		s.exit("time_is_up")
@@ -71,6 +73,6 @@
 
 func (s *Server) exit(cause string) {
 	s.flush()
-	log.Printf("event=exit cause=%s open=%d conns=%d", cause, s.tasks.Open(), len(s.peers))
+	log.Printf("event=exit cause=%s open=%d conns=%d", cause, s.tasks.Open(), s.peers.Len())
 	go func() { _ = s.engine.Stop(context.Background()) }()
 }
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -1,33 +1,29 @@
 package serve
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"log"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"swiftcourse/choice"
+	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/memory"
 	"swiftcourse/internal/wire/rpc"
 )
 
-// peer is a balancer's connection.
+// peer is a balancer's connection. What is not needed while it is idle is not here: its tasks and what waits to
+// be written are in buffers that come from a pool and go back to it.
 type peer struct {
 	line
-	server  *Server
-	number  int
-	open    map[uint64]*memory.Task
-	came    float64 // when it opened
-	heard   float64 // when something last went over it
-	half    float64 // since when a message has been there in part, 0 where none is
-	known   bool    // it sent a task or a check in full and in order
-	parting bool    // it was told to go away
+	server *Server
+	name   memory.Name    // in the table of peers; its slot is its name at the door
+	open   []*memory.Task // from spareOpen, nil where none is
 }
 
 const (
@@ -35,25 +31,31 @@
 	// spareSockets are kept from balancers and lanes: the links, the listener, the runtime's own, and a second
 	// descriptor for each of some dials while the loop takes them over.
 	spareSockets = 32
-	// speakIn is how soon a new connection has to bring something in order, and a message its rest. With the
-	// sweep's half second it ends 1 s before a peer that only wastes is owed its close. It may hurt a balancer that opens
-	// connections ahead of need, which then opens another, or whose machine stood still for as long.
-	speakIn = 1.5
-	// speakSoon is within what a balancer's first message follows its connection, unless the loop is far behind.
-	speakSoon  = 0.1
-	sweepEvery = 0.5
+	sweepEvery   = 0.5
 	// clockApart is how far from now a task may say that it came: more than any pause of a machine, as an age is learned from.
 	clockApart = 60
+	// idleCost is the memory in bytes of a connection that says nothing, measured, see docs/idle.md; a quarter of the memory
+	// may be spent on such.
+	idleCost = 1300
+	// mostTried bounds how many are looked at for one that may go.
+	mostTried = 16
 )
 
-// mostPeers is what is left of the descriptors: over half, which is what balancers may open.
-func (s *Server) mostPeers() int { return s.start.Sockets - spareSockets - s.mostLanes() }
+// mostPeers is how many connections balancers may hold, and what bounds it: what is left of the descriptors, which is over half, as
+// balancers may open that; or memory.
+func (s *Server) mostPeers() (most int, by string) {
+	most, by = s.start.Sockets-spareSockets-s.mostLanes(), "descriptors"
+	if n := int(s.start.Memory / 4 / idleCost); n < most && s.start.Memory > 0 {
+		return n, "memory"
+	}
+	return most, by
+}
 
 func (p *peer) opened(c gnet.Conn, _ string) error {
 	s := p.server
-	p.conn, p.came, p.heard = c, s.now(), s.now()
-	s.peers[p.number] = p
-	if len(s.peers) <= s.mostPeers() {
+	p.conn = c
+	s.door.Open(p.name.Slot(), s.now())
+	if most, _ := s.mostPeers(); s.peers.Len() <= most {
 		return nil
 	}
 	s.counts.evicted++
@@ -61,34 +63,36 @@
 		worst.end()
 		return nil
 	}
+	p.end()
 	return errors.New("no descriptor left for it")
 }
 
-// leastWanted is the connection that goes when another needs its place, of those with no task open: one that had
-// time to speak and brought nothing in order, else the one that was silent for longest; one so new that its first
-// message may be on its way goes last. So who only holds connections keeps no balancer out.
-func (s *Server) leastWanted(newcomer *peer) (worst *peer) {
-	now := s.now()
-	rank := func(p *peer) int {
-		switch {
-		case p.known:
-			return 1
-		case now-p.came > speakSoon:
-			return 0
+// leastWanted is the connection that goes when a newcomer needs its place: the first at the door that has nothing to write or to
+// be read.
+func (s *Server) leastWanted(newcomer *peer) *peer {
+	tried := 0
+	for slot := range s.door.Spare(s.now()) {
+		p := s.peers.At(slot)
+		if tried == mostTried {
+			break
 		}
-		return 2
-	}
-	for _, p := range s.peers {
-		if p.idle() && p != newcomer && (worst == nil ||
-			cmp.Or(cmp.Compare(rank(p), rank(worst)), cmp.Compare(p.heard, worst.heard)) < 0) {
-			worst = p
+		if p == newcomer {
+			continue
+		}
+		tried++
+		if !p.unsent && !waiting(p.conn) {
+			return p
 		}
 	}
-	return worst
+	return nil
 }
 
-// idle tells that nothing is owed on the connection.
-func (p *peer) idle() bool { return len(p.open) == 0 && !p.unsent }
+// waiting tells whether bytes of a connection are there that nobody read yet. It guards a task that arrives in the turn in which its
+// connection is to be closed; it costs one call of the system for a connection that closes.
+func waiting(c gnet.Conn) bool {
+	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
 
 // end closes a connection. Its place is free at once, and nothing is read from it any more: the library closes it
 // a little later, and a task taken in by then would run and have no answer.
@@ -101,54 +105,81 @@
 }
 
 func (p *peer) closed(error) {
-	s := p.server
+	s, open := p.server, p.open
+	if p.lags {
+		s.lagging = slices.DeleteFunc(s.lagging, func(l *line) bool { return l == &p.line })
+	}
 	p.shut(&s.pool)
-	delete(s.peers, p.number)
-	for _, number := range slices.Sorted(maps.Keys(p.open)) {
-		s.gone(p.open[number])
+	s.door.Leave(p.name.Slot())
+	s.peers.Drop(p.name) // p is another's from here on
+	for _, t := range open {
+		s.gone(t)
 	}
-	clear(p.open)
+	s.spareOpen.Put(open)
 }
 
 func (p *peer) take(b []byte) (n int, err error) {
 	s := p.server
-	p.heard = s.now()
+	now, slot := s.now(), p.name.Slot()
 	for n < len(b) {
 		m, size, err := rpc.Next(b[n:])
 		if err != nil {
 			return n, err
 		}
 		if size == 0 {
-			if p.half == 0 || n > 0 {
-				p.half = p.heard
-			}
+			s.door.Tell(slot, door.Partly, now)
 			return n, nil
 		}
 		n += size
-		p.half = 0
 		switch m.Kind {
 		case rpc.Task:
-			if err := p.task(&m); err != nil {
+			if err := p.task(&m, now); err != nil {
 				return n, err
 			}
 		case rpc.Gone:
-			if t := p.open[m.Number]; t != nil {
-				delete(p.open, m.Number)
+			s.door.Tell(slot, door.Heard, now)
+			if t := p.find(m.Number); t != nil {
+				p.over(t, now)
 				s.gone(t)
 			}
 		case rpc.Check:
-			p.known = true
+			s.door.Tell(slot, door.Spoke, now)
 			s.scratch = rpc.PutWell(s.scratch[:0], m.Number, s.well, s.say)
 			s.write(&p.line, s.scratch)
+		default:
+			s.door.Tell(slot, door.Heard, now)
 		}
 	}
 	return n, nil
 }
 
+// find gives the open task of a message, or nil.
+func (p *peer) find(number uint64) *memory.Task {
+	for _, t := range p.open {
+		if t.Number == number {
+			return t
+		}
+	}
+	return nil
+}
+
+// over takes a task off the connection.
+func (p *peer) over(t *memory.Task, now float64) {
+	s := p.server
+	if i := slices.Index(p.open, t); i >= 0 {
+		p.open = slices.Delete(p.open, i, i+1)
+	}
+	if len(p.open) == 0 && p.open != nil {
+		s.spareOpen.Put(p.open)
+		p.open = nil
+		s.door.Tell(p.name.Slot(), door.Settled, now)
+	}
+}
+
 // task takes a task in, or answers at once what can't be one.
-func (p *peer) task(m *rpc.Message) error {
+func (p *peer) task(m *rpc.Message, now float64) error {
 	s := p.server
-	if p.open[m.Number] != nil { // an answer would be taken for the other's
+	if p.find(m.Number) != nil { // an answer would be taken for the other's
 		return fmt.Errorf("message id %d is open already", m.Number)
 	}
 	stage, known := s.start.Stages[m.Stage]
@@ -162,11 +193,12 @@
 		bad = fmt.Errorf("unknown tenant %.40q", m.Tenant)
 	case len(p.open) >= mostOpen:
 		bad = fmt.Errorf("over %d tasks open", mostOpen)
-	case math.Abs(m.Came-s.now()) > clockApart:
-		bad = fmt.Errorf("it came %.0f s from now", m.Came-s.now())
+	case math.Abs(m.Came-now) > clockApart:
+		bad = fmt.Errorf("it came %.0f s from now", m.Came-now)
 	case s.tasks.Get(m.ID) != nil:
 		bad = fmt.Errorf("the id of another task")
 	case s.module == nil: // no processor yet: it can't have run
+		s.door.Tell(p.name.Slot(), door.Spoke, now)
 		s.scratch = rpc.PutRejected(s.scratch[:0], m.Number, s.say)
 		s.write(&p.line, s.scratch)
 		return nil
@@ -176,19 +208,23 @@
 		if s.mayComplain() {
 			log.Printf("event=bad_task peer=%s err=%q", p.conn.RemoteAddr(), bad)
 		}
+		s.door.Tell(p.name.Slot(), door.Heard, now)
 		s.scratch = rpc.PutInvalid(s.scratch[:0], m.Number, s.say)
 		s.write(&p.line, s.scratch)
 		return nil
 	}
-	t := &memory.Task{ID: m.ID, Peer: p.number, Number: m.Number, Stage: stage, Subject: m.Subject,
+	t := &memory.Task{ID: m.ID, Peer: p.name, Number: m.Number, Stage: stage, Subject: m.Subject,
 		Came: m.Came, Wait: m.Wait, Body: s.pool.Keep(m.Body)}
-	p.known = true
-	p.open[m.Number] = t
+	if p.open == nil {
+		p.open = s.spareOpen.Get()
+	}
+	p.open = append(p.open, t)
+	s.door.Tell(p.name.Slot(), door.Owed, now)
 	s.tasks.Add(t)
 	s.counts.read++
 	s.happens(choice.Event{Kind: choice.Read, ID: t.ID, Task: choice.Task{Stage: stage, Tenant: tenant,
 		Caller: m.Caller, Memory: m.Memory, Rank: m.Rank, Marked: m.Subject != "",
-		Earlier: s.kept.Earlier(stage, m.Subject, m.Came, s.now())}})
+		Earlier: s.kept.Earlier(stage, m.Subject, m.Came, now)}})
 	return nil
 }
 
@@ -220,9 +256,8 @@
 		return
 	}
 	*count++
-	if p := s.peers[t.Peer]; p != nil {
-		delete(p.open, t.Number)
-		p.heard = s.now()
+	if p := s.peers.Get(t.Peer); p != nil {
+		p.over(t, s.now())
 		s.scratch = put(s.scratch[:0], t.Number)
 		s.write(&p.line, s.scratch)
 	}
@@ -245,42 +280,45 @@
 
 func (s *Server) setFree(value float64) { s.say.Free = strconv.FormatFloat(value, 'f', -1, 64) }
 
-// part asks a balancer to close a connection: it sends nothing new on it, so nothing can be lost.
-func (s *Server) part(p *peer) {
-	if !p.parting {
-		p.parting = true
-		s.scratch = rpc.PutPart(s.scratch[:0])
-		s.write(&p.line, s.scratch)
+// tend does what the door says of connections: a few a turn.
+func (s *Server) tend(now float64) {
+	for _, v := range s.door.Due(now) {
+		p := s.peers.At(v.Slot)
+		switch {
+		case v.Do == door.Ask: // it sends nothing new from then on, so nothing can be lost
+			s.scratch = rpc.PutPart(s.scratch[:0])
+			s.write(&p.line, s.scratch)
+			s.counts.parted++
+		case waiting(p.conn):
+			s.door.Tell(v.Slot, door.Woke, now)
+		default:
+			if v.Was != door.Parting {
+				s.counts.unspoken++
+			}
+			p.end()
+		}
 	}
 }
 
-// sweep drops kept entries that have run out, closes the connections that brought nothing in order in their
-// time, and those that were silent for long: asked first, by ourselves if that did nothing.
+// sweep drops kept entries that have run out, lets idle lanes rest, and ends the connection that reads least where all
+// together leave too much unread.
 func (s *Server) sweep() {
 	now := s.now()
-	unread, most, worst := 0, 0, (*peer)(nil)
-	for _, p := range s.peers {
-		silent := now - p.heard
-		n := p.conn.OutboundBuffered()
+	unread, most, worst := 0, 0, (*line)(nil)
+	s.lagging = slices.DeleteFunc(s.lagging, func(l *line) bool {
+		n := l.conn.OutboundBuffered()
 		if unread += n; n > most {
-			most, worst = n, p
+			most, worst = n, l
 		}
-		switch {
-		case !p.idle():
-		case !p.known && now-p.came > speakIn, p.half != 0 && now-p.half > speakIn:
-			s.counts.unspoken++
-			p.end()
-		case silent < s.idle:
-		case !p.parting:
-			s.part(p)
-		case silent > s.idle+0.5: // half a second is ample for a balancer that heeds
+		l.lags = n > 0
+		return n == 0
+	})
+	if worst != nil && unread > int(s.start.Memory/8) {
+		if p, ok := worst.conn.Context().(*peer); ok {
 			p.end()
 		}
 	}
-	if worst != nil && unread > int(s.start.Memory/8) {
-		worst.end()
-	}
 	s.rest(now)
 	s.kept.Sweep(now)
-	s.timers.Add(now+max(0.02, min(sweepEvery, s.idle/4)), s.sweep)
+	s.timers.Add(now+sweepEvery, s.sweeping)
 }
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -18,8 +18,9 @@
 // processorLink is the link to the processor. It is up after the first word from there; after a break, once the notices that were
 // missed have come again, which a question for the gauges as a fence tells.
 type processorLink struct {
-	line
+	link
 	server    *Server
+	asking    func() // askGauges, made once for all its timers
 	reader    processor.Reader
 	noticed   int64 // of the last notice read
 	up        bool  // commands may go out
@@ -30,7 +31,7 @@
 }
 
 func (l *processorLink) opened(c gnet.Conn, to string) error {
-	l.conn, l.to = c, to
+	l.stands(c, to)
 	log.Printf("event=link_open link=processor notice=%d", l.noticed)
 	l.put(processor.PutResume(nil, l.noticed))
 	return nil
--- a/internal/serve/roster.go
+++ b/internal/serve/roster.go
@@ -11,7 +11,7 @@
 
 // rosterLink reports to the roster, one report at a time.
 type rosterLink struct {
-	line
+	link
 	server  *Server
 	waits   bool    // for the answer to a report
 	told    bool    // what the last report said
@@ -27,7 +27,8 @@
 var errUnanswered = errors.New("the last report was not answered")
 
 func (r *rosterLink) opened(c gnet.Conn, to string) error {
-	r.conn, r.to, r.waits = c, to, false
+	r.stands(c, to)
+	r.waits = false
 	log.Printf("event=link_open link=roster")
 	r.tell()
 	return nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -9,7 +9,9 @@
 	"log"
 	"math"
 	"os"
+	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"swiftcourse/choice"
+	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/memory"
 	"swiftcourse/internal/wire/rpc"
@@ -50,17 +53,21 @@
 	scratch       []byte
 	unsent        []*line // have something to write at the end of the turn
 
-	peers      map[int]*peer
-	peerNumber int
-	processor  *processorLink
-	lanes      lanes
-	calls      map[string]*call // by the task they are made for
-	roster     *rosterLink
+	peers     memory.Table[peer]
+	door      *door.Door
+	spareOpen memory.Shelf
+	lagging   []*line // balancers' that may have left something unread
+	sweeping  func()  // sweep and count, made once for all their timers
+	counting  func()
+	processor *processorLink
+	lanes     lanes
+	calls     map[string]*call // by the task they are made for
+	roster    *rosterLink
 
 	say             rpc.Say // goes with every answer
 	well            bool
-	idle            float64 // connections silent for so long are closed
 	drainAt, killAt float64
+	parting         bool // all connections are asked to close, as the server leaves
 	counts          counts
 	complained      float64 // when a line about a peer's nonsense was last written
 }
@@ -69,11 +76,12 @@
 type counts struct {
 	read, finished, rejected, abandoned, gone, invalid, calls, turns int
 	malformed, unrun                                                 int // connections closed for their bytes; commands not carried out
-	evicted, unspoken                                                int // connections closed for another's sake, or as they brought nothing
+	evicted, unspoken, parted                                        int // connections closed for another's sake, or as they brought nothing; asked to close
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
 	gaugeAge        float64 // the oldest reading that a timer came with
 	blind           int     // timers that came with none
+	turn            float64 // seconds that a turn took, at most
 }
 
 // New makes a server that has not started yet.
@@ -81,12 +89,14 @@
 	now := time.Now()
 	s := &Server{start: start, anchor: now, unix: float64(now.UnixMicro()) / 1e6, looping: make(chan struct{}),
 		alarmAt: math.Inf(1), tasks: memory.NewTasks(), kept: memory.NewKept(),
-		calls: map[string]*call{}, peers: map[int]*peer{}, idle: start.Site.Idle,
+		calls: map[string]*call{}, door: door.New(start.Site.Idle),
 		drainAt: math.Inf(1), killAt: math.Inf(1),
 		gauges: noGauges(), gaugesAt: math.Inf(-1)}
 	s.book.Store(newBook(start.Addresses))
 	s.run = gnet.RunnableFunc(func(context.Context) error { return s.turn() })
+	s.sweeping, s.counting = s.sweep, s.count
 	s.processor = &processorLink{server: s}
+	s.processor.asking = s.processor.askGauges
 	s.roster = &rosterLink{server: s}
 	return s
 }
@@ -131,7 +141,7 @@
 	if s.loop == nil {
 		s.loop = c.EventLoop()
 		s.alarm = time.AfterFunc(time.Hour, func() { _ = s.loop.Execute(context.Background(), s.run) })
-		s.timers.Add(s.now()+countEvery, s.count)
+		s.timers.Add(s.now()+countEvery, s.counting)
 		s.dial(toRoster, s.roster, 0)
 		close(s.looping)
 	}
@@ -145,8 +155,9 @@
 		}
 		p, to = d.party, d.to
 	} else {
-		s.peerNumber++
-		p = &peer{server: s, number: s.peerNumber, open: map[uint64]*memory.Task{}}
+		name, fresh := s.peers.Add()
+		fresh.server, fresh.name = s, name
+		p = fresh
 		c.SetContext(p)
 	}
 	if err := p.opened(c, to); err != nil {
@@ -232,11 +243,13 @@
 		s.carryOut(s.module.Decide(now, batch), now)
 		s.spare = batch
 	}
+	s.tend(now)
 	s.flush()
-	next := s.timers.Next()
+	next := min(s.timers.Next(), s.door.Next())
 	if more {
 		next = now
 	}
+	s.counts.turn = max(s.counts.turn, s.now()-now)
 	if next < s.alarmAt {
 		s.alarmAt = next
 		s.alarm.Reset(time.Duration((next - s.now()) * float64(time.Second)))
@@ -281,11 +294,21 @@
 // line is a connection, while it is open, and what waits to be written on it.
 type line struct {
 	conn   gnet.Conn
-	to     string
 	out    memory.Out
 	unsent bool
+	ours   bool // we dialled it
+	lags   bool // in lagging
 }
 
+// link is a line that we dialled.
+type link struct {
+	line
+	to string
+}
+
+// stands books that the link is open.
+func (l *link) stands(c gnet.Conn, to string) { l.conn, l.to, l.ours = c, to, true }
+
 func (l *line) has(c gnet.Conn) bool { return l.conn == c }
 
 // shut books that the connection is closed; what was still to be written must not reach the next one.
@@ -320,14 +343,18 @@
 	s.unsent = nil
 	for _, l := range lines {
 		l.unsent = false
-		if c := l.conn; c != nil {
+		if c := l.conn; c != nil && len(l.out.Parts()) > 0 {
 			most := mostUnread
-			if l.to != "" {
+			if l.ours {
 				most = mostUnreadOurs
 			}
-			if _, err := c.Writev(l.out.Parts()); err == nil && c.OutboundBuffered() > most {
+			_, err := c.Writev(l.out.Parts())
+			if left := c.OutboundBuffered(); err == nil && left > most {
 				log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), "it does not read")
 				_ = c.Close()
+			} else if err == nil && left > 0 && !l.ours && !l.lags {
+				l.lags = true
+				s.lagging = append(s.lagging, l)
 			}
 		}
 		l.out.Clear(&s.pool)
@@ -351,16 +378,25 @@
 const countEvery = 10
 
 func (s *Server) count() {
+	s.tell()
+	s.timers.Add(s.now()+countEvery, s.counting)
+}
+
+// tell writes the line of counts and begins anew.
+func (s *Server) tell() {
 	c := &s.counts
+	most, by := s.mostPeers()
 	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d "+
-		"unrun=%d calls=%d turns=%d unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d conns=%d lanes=%d "+
-		"evicted=%d unspoken=%d gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d well=%t load=%s",
+		"unrun=%d calls=%d turns=%d turn_ms=%.2f unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d "+
+		"conns=%d strangers=%d parting=%d most_conns=%d most_by=%s lanes=%d parted=%d evicted=%d unspoken=%d "+
+		"gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d heap_kb=%d well=%t load=%s",
 		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed,
-		c.unrun, c.calls, c.turns, 1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(),
-		s.tasks.Len(), s.kept.Len(), len(s.peers), len(s.lanes.all),
-		c.evicted, c.unspoken, 1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), s.well, s.say.Free)
+		c.unrun, c.calls, c.turns, 1000*c.turn, 1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(),
+		s.tasks.Len(), s.kept.Len(),
+		s.peers.Len(), s.door.Count(door.Stranger), s.door.Count(door.Parting), most, by, len(s.lanes.all), c.parted,
+		c.evicted, c.unspoken,
+		1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), liveKB(), s.well, s.say.Free)
 	*c = counts{}
-	s.timers.Add(s.now()+countEvery, s.count)
 }
 
 // residentKB is the memory of this process, 0 where the system does not tell.
@@ -373,6 +409,24 @@
 	return resident * os.Getpagesize() / 1024
 }
 
+// liveKB is the heap that was in use after the latest collection.
+func liveKB() uint64 {
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return live[0].Value.Uint64() / 1024
+}
+
+// Tell writes the line of counts now, from any goroutine, after a collection, so that it tells what is really in use. The collection
+// costs some milliseconds of another core.
+func (s *Server) Tell() {
+	runtime.GC()
+	<-s.looping
+	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		s.tell()
+		return nil
+	}))
+}
+
 // logger passes the library's warnings on in our form.
 type logger struct{}
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -19,6 +19,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/choice"
+	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/memory"
 	"swiftcourse/internal/wire/processor"
@@ -581,7 +582,8 @@
 	busy := w.balancer()
 	busy.send("%s", frame(1, "a1", "x"))
 	w.processor.wants("begin", "a1")
-	for range w.server.mostPeers() {
+	most, _ := w.server.mostPeers()
+	for range most {
 		w.balancer()
 		late := w.balancer()
 		late.send("%s", check)
@@ -592,29 +594,23 @@
 	busy.expect(answerTo(1) + finished + "\x01r\x80")
 }
 
-func TestWhoGoesFirstWhenDescriptorsRunShort(t *testing.T) {
-	s := New(&life.Start{})
-	now := s.now()
-	for i, p := range []*peer{ // as they should go
-		{came: now - 1, heard: now - 0.5}, // had its time and brought nothing
-		{came: now - 0.5, heard: now},
-		{came: now - 9, heard: now - 8, known: true}, // silent for longest
-		{came: now - 9, heard: now - 0.001, known: true},
-		{came: now, heard: now}, // its first message may be on its way
-		{came: now - 9, heard: now - 9, open: map[uint64]*memory.Task{1: nil}},
-		{came: now - 9, heard: now - 9, line: line{unsent: true}}, // an answer is on its way out
-	} {
-		p.server, p.number = s, i
-		s.peers[i] = p
-	}
-	for i := range 5 {
-		if p := s.leastWanted(nil); p == nil || p.number != i {
-			t.Fatalf("instead of %d goes %+v", i, p)
-		}
-		delete(s.peers, i)
+func TestWhoIsOwedSomethingDoesNotGoForANewcomer(t *testing.T) {
+	s := New(&life.Start{Site: choice.Site{Idle: 30}})
+	add := func(unsent bool) *peer {
+		name, p := s.peers.Add()
+		p.server, p.name, p.conn, p.unsent = s, name, broken{}, unsent
+		s.door.Open(name.Slot(), 0)
+		s.door.Tell(name.Slot(), door.Spoke, 0)
+		return p
+	}
+	answered, silent, late := add(true), add(false), add(false)
+	s.door.Tell(silent.name.Slot(), door.Spoke, 1)
+	if p := s.leastWanted(late); p != silent { // an answer is on its way out to the first
+		t.Errorf("%+v goes", p)
 	}
-	if p := s.leastWanted(nil); p != nil {
-		t.Errorf("one that is owed something goes: %+v", p)
+	s.door.Tell(silent.name.Slot(), door.Owed, 2)
+	if p := s.leastWanted(late); p != nil {
+		t.Errorf("%+v goes, %+v", p, answered)
 	}
 }
 
@@ -633,7 +629,8 @@
 	s := New(&life.Start{Sockets: 256, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}})
 	s.loop, s.module = stillLoop{}, choice.New(1, choice.Site{})
 	for _, ends := range []bool{false, true} {
-		p := &peer{server: s, open: map[uint64]*memory.Task{}}
+		name, p := s.peers.Add()
+		p.server, p.name = s, name
 		c := &sending{context: p, bytes: frame(1, fmt.Sprint("a", ends), "x")}
 		_ = p.opened(c, "")
 		if ends {
@@ -672,6 +669,7 @@
 func TestSilentConnectionsAreAskedToCloseThenClosed(t *testing.T) {
 	w := build(t, func(s *life.Start) { s.Site.Idle = 0.05 })
 	b := w.balancer()
+	b.send("\x94\x00\x01\xa6isWell\x91\x80")
 	b.expect("goaway\x90")
 	if _, err := io.ReadAll(b.in); err != nil {
 		t.Errorf("instead of its end: %v", err)
@@ -699,7 +697,7 @@
 	s.loop = stillLoop{}
 	for _, to := range []string{"", "127.0.0.9:1"} {
 		c := &unread{}
-		l := &line{conn: c, to: to}
+		l := &line{conn: c, ours: to != ""}
 		s.write(l, []byte("x"))
 		if s.flush(); c.closed != (to == "") {
 			t.Errorf("to %q: closed %v", to, c.closed)
@@ -723,6 +721,7 @@
 func (broken) Context() any                   { return broken{} }
 func (broken) Peek(int) ([]byte, error)       { return []byte("x"), nil }
 func (broken) Close() error                   { return nil }
+func (broken) Fd() int                        { return -1 }
 func (broken) RemoteAddr() net.Addr           { return &net.TCPAddr{} }
 func (broken) opened(gnet.Conn, string) error { return nil }
 func (broken) has(gnet.Conn) bool             { return true }
@@ -911,7 +910,7 @@
 		_ = w.server.loop.Execute(t.Context(), gnet.RunnableFunc(func(context.Context) error {
 			s := w.server
 			told <- fmt.Sprintf("%d tasks, %d kept, %d calls, %d lanes, %d peers, %d buffers, %d events", s.tasks.Len(),
-				s.kept.Len(), len(s.calls), len(s.lanes.all)+len(s.lanes.waiting), len(s.peers), s.pool.Out, len(s.events))
+				s.kept.Len(), len(s.calls), len(s.lanes.all)+len(s.lanes.waiting), s.peers.Len(), s.pool.Out, len(s.events))
 			if n := s.timers.Len(); n > 10 {
 				told <- fmt.Sprint(n, " timers")
 			}
--- /dev/null
+++ b/internal/standin/catalogue/catalogue.go
@@ -0,0 +1,104 @@
+// Package catalogue stands in for the proxy to the tier below: it answers calls, late or never or not in order where
+// it is told so, as its page describes it.
+package catalogue
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"swiftcourse/choice"
+	"swiftcourse/internal/wire/catalogue"
+)
+
+// Fate is what becomes of a call.
+type Fate struct {
+	After   time.Duration
+	Outcome choice.Outcome
+	Body    []byte
+	Break   bool // the connection breaks instead
+	Silence bool // no answer ever comes
+}
+
+// Catalogue is a running stand-in.
+type Catalogue struct {
+	listener net.Listener
+	fate     func(n int, c catalogue.Call) Fate
+	calls    atomic.Int64
+	quits    atomic.Int64
+}
+
+// Start listens on an address of loopback; fate tells what becomes of the nth call, from 1.
+func Start(addr string, fate func(n int, c catalogue.Call) Fate) (*Catalogue, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	k := &Catalogue{listener: l, fate: fate}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go k.serve(c)
+		}
+	}()
+	return k, nil
+}
+
+// Addr is where it listens.
+func (k *Catalogue) Addr() string { return k.listener.Addr().String() }
+
+// Calls counts the calls that came.
+func (k *Catalogue) Calls() int { return int(k.calls.Load()) }
+
+// Close ends it. Connections that stand go on until the other side closes them.
+func (k *Catalogue) Close() { _ = k.listener.Close() }
+
+func (k *Catalogue) serve(c net.Conn) {
+	defer c.Close()
+	var mu sync.Mutex
+	var b []byte
+	piece := make([]byte, 16<<10)
+	for {
+		n, err := c.Read(piece)
+		if err != nil {
+			return
+		}
+		b = append(b, piece[:n]...)
+		for {
+			call, size, err := catalogue.NextCall(b)
+			if err != nil {
+				return
+			}
+			if size == 0 {
+				break
+			}
+			b = b[size:]
+			if call.Quit {
+				k.quits.Add(1)
+				continue
+			}
+			f := k.fate(int(k.calls.Add(1)), call)
+			if f.Break {
+				return
+			}
+			if f.Silence {
+				continue
+			}
+			reply := catalogue.PutReply(nil, call.ID, f.Outcome, f.Body)
+			answer := func() {
+				mu.Lock()
+				defer mu.Unlock()
+				_, _ = c.Write(reply) // who is gone needs none
+			}
+			if f.After > 0 {
+				time.AfterFunc(f.After, answer)
+			} else {
+				answer()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/processor/processor.go
@@ -0,0 +1,268 @@
+// Package processor stands in for the processor: it runs tasks on a number of cores that it only pretends to have,
+// first come first run, and speaks the protocol as its page describes it, links that break included.
+package processor
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"sync"
+	"time"
+
+	"swiftcourse/choice"
+	"swiftcourse/internal/wire/processor"
+)
+
+// Plan is what a processor does. What is nil is not done.
+type Plan struct {
+	Cores  int                               // runs at a time; 1 where it is 0
+	Work   func(stage, id string) float64    // seconds of a core that a run takes
+	Calls  func(stage, id string) bool       // it makes a call when half of that is done
+	Gauges func(busy, waiting int) []float64 // in the order of the settings
+	Cold   bool
+}
+
+// Counts is what a processor did so far.
+type Counts struct {
+	Begun, Ended, Calls, Links int
+	Twice                      int // runs of an id that had ended before: an effect that came twice
+}
+
+// Processor is a running stand-in.
+type Processor struct {
+	plan     Plan
+	listener net.Listener
+	started  time.Time
+
+	mu      sync.Mutex
+	counts  Counts
+	link    net.Conn
+	out     []byte
+	flushes bool // a goroutine is about to write out
+	serial  int64
+	notices []notice // the latest, in order
+	runs    map[string]*run
+	over    map[string]bool
+	waiting []*run
+	busy    int
+}
+
+type notice struct {
+	serial int64
+	line   []byte
+}
+
+// run is a task that was begun. Its parts are one before its call and one after it, or one alone.
+type run struct {
+	id, stage string
+	body      []byte
+	part      float64 // seconds of each part
+	parts     int     // that are left
+	asked     int64   // notice of its call, 0 where it waits for none
+	began     time.Time
+}
+
+const (
+	mostNotices = 4000    // kept, by the page
+	mostOver    = 1 << 20 // ids remembered for Twice
+)
+
+// Start listens on an address of loopback.
+func Start(addr string, plan Plan) (*Processor, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	plan.Cores = max(1, plan.Cores)
+	p := &Processor{plan: plan, listener: l, started: time.Now(), runs: map[string]*run{}, over: map[string]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Processor) Addr() string { return p.listener.Addr().String() }
+
+// Counts tells what it did.
+func (p *Processor) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Close ends it; runs are forgotten.
+func (p *Processor) Close() {
+	_ = p.listener.Close()
+	p.Break()
+}
+
+// Break breaks the link; runs go on.
+func (p *Processor) Break() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link != nil {
+		_ = p.link.Close()
+		p.link = nil
+	}
+}
+
+func (p *Processor) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReaderSize(c, 64<<10)
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		command, err := processor.ReadCommand(bytes.TrimSuffix(line, []byte("\n")))
+		if err != nil {
+			return // it closes a link on which something else comes
+		}
+		p.mu.Lock()
+		if command.Verb == processor.Resume {
+			p.resume(c, command.Number)
+		} else if p.link == c {
+			p.carryOut(&command)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// resume has a new link take the place of the one before.
+func (p *Processor) resume(c net.Conn, read int64) {
+	if p.link != nil && p.link != c {
+		_ = p.link.Close()
+	}
+	p.counts.Links++
+	p.link, p.out = c, nil
+	p.write(processor.PutUp(nil, p.plan.Cold, time.Since(p.started).Seconds()))
+	for _, n := range p.notices {
+		if n.serial > read {
+			p.write(n.line)
+		}
+	}
+}
+
+func (p *Processor) carryOut(c *processor.Command) {
+	r := p.runs[c.ID]
+	switch c.Verb {
+	case processor.Begin:
+		if r != nil {
+			return // it runs already
+		}
+		p.counts.Begun++
+		if p.over[c.ID] {
+			p.counts.Twice++
+		}
+		r = &run{id: c.ID, stage: c.Stage, body: c.Body, parts: 1, began: time.Now()}
+		if p.plan.Work != nil {
+			r.part = p.plan.Work(c.Stage, c.ID)
+		}
+		if p.plan.Calls != nil && p.plan.Calls(c.Stage, c.ID) {
+			r.parts, r.part = 2, r.part/2
+		}
+		p.runs[c.ID] = r
+		p.queue(r)
+	case processor.Answer, processor.Without:
+		if r == nil || r.asked == 0 || c.Verb == processor.Without && c.Number != r.asked {
+			p.write(processor.PutRejection(nil, c.Verb, c.ID))
+			return
+		}
+		r.asked = 0
+		p.queue(r)
+	case processor.Gauge:
+		var g []float64
+		if p.plan.Gauges != nil {
+			g = p.plan.Gauges(p.busy, len(p.waiting))
+		}
+		p.write(processor.PutMeasured(nil, c.Tag, g))
+	}
+}
+
+// queue has a part of a run wait for a core.
+func (p *Processor) queue(r *run) {
+	p.waiting = append(p.waiting, r)
+	p.next()
+}
+
+func (p *Processor) next() {
+	for len(p.waiting) > 0 && p.busy < p.plan.Cores {
+		r := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if r.part <= 0 {
+			p.done(r)
+			continue
+		}
+		p.busy++
+		time.AfterFunc(time.Duration(r.part*float64(time.Second)), func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.busy--
+			p.done(r)
+			p.next()
+		})
+	}
+}
+
+// done ends a part of a run.
+func (p *Processor) done(r *run) {
+	if r.parts--; r.parts > 0 {
+		p.counts.Calls++
+		p.notify(func(b []byte, serial int64) []byte {
+			r.asked = serial
+			return processor.PutParked(b, serial, r.id, r.body)
+		})
+		return
+	}
+	p.counts.Ended++
+	delete(p.runs, r.id)
+	if len(p.over) >= mostOver {
+		clear(p.over)
+	}
+	p.over[r.id] = true
+	p.notify(func(b []byte, serial int64) []byte {
+		return processor.PutEnded(b, serial, r.id, choice.Finished, time.Since(r.began).Seconds(), r.body)
+	})
+}
+
+func (p *Processor) notify(put func(b []byte, serial int64) []byte) {
+	p.serial++
+	line := put(nil, p.serial)
+	if len(p.notices) >= 2*mostNotices {
+		p.notices = append([]notice(nil), p.notices[mostNotices:]...)
+	}
+	p.notices = append(p.notices, notice{p.serial, line})
+	p.write(line)
+}
+
+// write has a goroutine of its own write, as the lock is held here; what comes meanwhile goes with it.
+func (p *Processor) write(line []byte) {
+	if p.link == nil {
+		return
+	}
+	p.out = append(p.out, line...)
+	if p.flushes {
+		return
+	}
+	p.flushes = true
+	go func() {
+		for {
+			p.mu.Lock()
+			out, c := p.out, p.link
+			p.out = nil
+			if p.flushes = len(out) > 0 && c != nil; !p.flushes {
+				p.mu.Unlock()
+				return
+			}
+			p.mu.Unlock()
+			_, _ = c.Write(out) // a link that broke is resumed by the server, which asks for all of this again
+		}
+	}()
+}
--- /dev/null
+++ b/internal/wire/catalogue/far_test.go
@@ -0,0 +1,36 @@
+package catalogue
+
+import (
+	"reflect"
+	"testing"
+
+	"swiftcourse/choice"
+)
+
+func TestCallsAndRepliesAreReadAsTheyWereWritten(t *testing.T) {
+	b := append(PutCall(nil, "a1", 0.25, []byte("a\r\nb")), "QUIT a1\r\n"...)
+	c, n, err := NextCall(b)
+	if err != nil || !reflect.DeepEqual(c, Call{ID: "a1", Wait: 0.25, Body: []byte("a\r\nb")}) {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	if q, m, err := NextCall(b[n:]); err != nil || !q.Quit || q.ID != "a1" || n+m != len(b) {
+		t.Errorf("%+v, %d, %v", q, m, err)
+	}
+	for cut := range n {
+		if _, m, err := NextCall(b[:cut]); m != 0 || err != nil {
+			t.Errorf("cut at %d: %d, %v", cut, m, err)
+		}
+	}
+	for _, bad := range []string{"PUT a1 3 4\r\n", "FETCH a1 x 1\r\n", "FETCH a1 1 -1\r\n", "FETCH a1 1 99999\r\n", "FETCH a1 1 1\r\nabc",
+		"\r\n", string(make([]byte, maxLine))} {
+		if c, n, err := NextCall([]byte(bad)); err == nil {
+			t.Errorf("%q: %+v, %d", bad, c, n)
+		}
+	}
+	for _, o := range []choice.Outcome{choice.Finished, choice.Bounced, choice.TimedOut, choice.Errored} {
+		b := PutReply(nil, "a1", o, []byte("x"))
+		if r, n, err := Next(b); err != nil || n != len(b) || r.ID != "a1" || r.Outcome != o {
+			t.Errorf("%s: %+v, %v", b, r, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/rpc/far_test.go
@@ -0,0 +1,121 @@
+package rpc
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261201") // the same verdict every time
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "500")
+	os.Exit(m.Run())
+}
+
+func TestWhatACallerWritesIsWhatAServerReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Message{Kind: Task, Number: rapid.Uint64Max(1<<62).Draw(t, "number"),
+			ID: rapid.StringMatching("[0-9a-f]{16}").Draw(t, "id"), Stage: rapid.StringMatching("[a-z-]{1,60}").Draw(t, "stage"),
+			Tenant:  rapid.SampledFrom([]string{"", "acme"}).Draw(t, "tenant"),
+			Subject: rapid.SampledFrom([]string{"", "7f3a"}).Draw(t, "subject"),
+			Came:    float64(rapid.Int64Range(0, 1<<41).Draw(t, "came")) / 1000,
+			Wait:    float64(rapid.IntRange(-1000, 1e6).Draw(t, "wait")) / 1000, Caller: rapid.IntRange(0, 1e6).Draw(t, "caller"),
+			Memory: float64(rapid.IntRange(1, 3999).Draw(t, "memory")) / 2, Rank: float64(rapid.IntRange(0, 63).Draw(t, "rank")) / 64,
+			Body: rapid.SliceOfN(rapid.Byte(), 0, maxBody).Draw(t, "body")}
+		b := PutTask(nil, &m)
+		got, n, err := Next(append(b, 0x94))
+		if got.Body == nil {
+			got.Body = []byte{}
+		}
+		if err != nil || n != len(b) || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%+v, %d of %d, %v; want %+v", got, n, len(b), err, m)
+		}
+		cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut")
+		if _, n, err := Next(b[:cut]); n != 0 || err != nil {
+			t.Fatalf("cut at %d: %d, %v", cut, n, err)
+		}
+		if g, n, err := Next(PutGone(nil, m.Number)); err != nil || n == 0 || g.Kind != Gone || g.Number != m.Number {
+			t.Fatalf("%+v, %v", g, err)
+		}
+		if g, n, err := Next(PutCheck(nil, m.Number)); err != nil || n == 0 || g.Kind != Check || g.Number != m.Number {
+			t.Fatalf("%+v, %v", g, err)
+		}
+	})
+}
+
+func TestWhatAServerWritesIsWhatACallerReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.Uint64().Draw(t, "number")
+		say := Say{Free: rapid.SampledFrom([]string{"", "0.25"}).Draw(t, "free"),
+			Advice: float64(rapid.IntRange(0, 50).Draw(t, "advice")) / 4, Last: rapid.Bool().Draw(t, "last")}
+		result := rapid.SliceOfN(rapid.Byte(), 0, 4096).Draw(t, "result")
+		for i, c := range []struct {
+			b    []byte
+			want Answer
+		}{
+			{PutResult(nil, number, result, say), Answer{End: Finished, Number: number, Result: result, Say: say}},
+			{PutRejected(nil, number, say), Answer{End: Rejected, Number: number, Error: "Busy", Say: say}},
+			{PutAbandoned(nil, number, say), Answer{End: Abandoned, Number: number, Error: "Failed", Say: say}},
+			{PutInvalid(nil, number, say), Answer{End: Abandoned, Number: number, Error: "Invalid", Say: say}},
+			{PutWell(nil, number, true, say), Answer{End: WellSaid, Number: number, Well: true, Say: say}},
+			{PutPart(nil), Answer{End: PartSaid}},
+		} {
+			got, n, err := NextAnswer(append(bytes.Clone(c.b), 0x94))
+			if c.want.End == Finished && got.Result == nil {
+				got.Result = []byte{}
+			}
+			if err != nil || n != len(c.b) || !reflect.DeepEqual(got, c.want) {
+				t.Fatalf("%d: %+v, %d of %d, %v; want %+v", i, got, n, len(c.b), err, c.want)
+			}
+			cut := rapid.IntRange(0, len(c.b)-1).Draw(t, "cut")
+			if _, n, err := NextAnswer(c.b[:cut]); n != 0 || err != nil {
+				t.Fatalf("%d cut at %d: %d, %v", i, cut, n, err)
+			}
+		}
+	})
+}
+
+func TestAnAnswerThatIsNoneIsAnError(t *testing.T) {
+	for _, bad := range []string{"\x01", "\x94\x00\x01\xa0\x90", "\x94\x01\x01\xc0\x91\xc3", "\x94\x01\x01\x92\x01\x80\xc0",
+		"\x94\x01\x01\xc0\x92\xc0\x80", "\x94\x01\x01\xc0\x92\xc3\x01", "\xc1", strings.Repeat("\xdd\x00\x01\x00\x00", 20),
+		"\x94\x01\x01\x92\xa4Busy\x81\xa8pushback\xa1x\xc0"} {
+		if a, n, err := NextAnswer([]byte(bad)); err == nil {
+			t.Errorf("%q: %+v, %d", bad, a, n)
+		}
+	}
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add(PutTask(nil, &Message{Number: 7, ID: "a1", Stage: "quote", Came: 1, Wait: 1, Memory: 1, Body: []byte("x")}))
+	f.Add(PutGone(PutCheck(nil, 3), 1<<40))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for len(b) > 0 {
+			_, n, err := Next(b)
+			if n < 0 || n > len(b) || n > MaxFrame || err != nil && n != 0 {
+				t.Fatalf("%d of %d, %v", n, len(b), err)
+			}
+			if n == 0 {
+				return
+			}
+			b = b[n:]
+		}
+	})
+}
+
+func FuzzNextAnswer(f *testing.F) {
+	f.Add(PutResult(nil, 7, []byte("x"), Say{Free: "1", Advice: 1, Last: true}))
+	f.Add(PutRejected(PutPart(nil), 1<<40, Say{}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, n, err := NextAnswer(b)
+		if n < 0 || n > len(b) || err != nil && n != 0 || len(a.Result) > n {
+			t.Fatalf("%+v, %d of %d, %v", a, n, len(b), err)
+		}
+	})
+}
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -229,8 +229,11 @@
 
 // PutResult appends the answer of a finished task.
 func PutResult(b []byte, id uint64, result []byte, say Say) []byte {
-	b = append(putAnswer(b, id), 0xc0, 0x92)
-	switch n := len(result); {
+	return say.put(putBytes(append(putAnswer(b, id), 0xc0, 0x92), result))
+}
+
+func putBytes(b, data []byte) []byte {
+	switch n := len(data); {
 	case n < 1<<8:
 		b = append(b, 0xc4, byte(n))
 	case n < 1<<16:
@@ -238,7 +241,7 @@
 	default:
 		b = binary.BigEndian.AppendUint32(append(b, 0xc6), uint32(n))
 	}
-	return say.put(append(b, result...))
+	return append(b, data...)
 }
 
 // PutRejected appends the answer of a task that was turned away and never ran.
@@ -267,15 +270,16 @@
 // PutPart appends the notice that no new task is wanted on the connection.
 func PutPart(b []byte) []byte { return append(putText(append(b, 0x93, 2), "goaway"), 0x90) }
 
-func putAnswer(b []byte, id uint64) []byte {
-	b = append(b, 0x94, 1)
-	if id < 1<<7 {
-		return append(b, byte(id))
+func putAnswer(b []byte, id uint64) []byte { return putNumber(append(b, 0x94, 1), id) }
+
+func putNumber(b []byte, n uint64) []byte {
+	if n < 1<<7 {
+		return append(b, byte(n))
 	}
-	if id < 1<<32 {
-		return binary.BigEndian.AppendUint32(append(b, 0xce), uint32(id))
+	if n < 1<<32 {
+		return binary.BigEndian.AppendUint32(append(b, 0xce), uint32(n))
 	}
-	return binary.BigEndian.AppendUint64(append(b, 0xcf), id)
+	return binary.BigEndian.AppendUint64(append(b, 0xcf), n)
 }
 
 func putText(b []byte, s string) []byte {
