--- /dev/null
+++ b/cmd/swiftlab/main.go
@@ -0,0 +1,98 @@
+// Command swiftlab is the project's laboratory: it starts the real server with stand-ins for all that it speaks with, on
+// loopback, and measures what it does.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"swiftcourse/internal/lab/fleet"
+	"swiftcourse/internal/lab/idle"
+	"swiftcourse/internal/lab/report"
+)
+
+type program struct {
+	Idle idleCommand `cmd:"" help:"What idle connections cost, and what the busy ones feel of them."`
+	Hold holdCommand `cmd:"" hidden:""`
+}
+
+type idleCommand struct {
+	Server      string        `help:"The server's program." default:"bin/swiftcourse" type:"path"`
+	Connections []int         `help:"Numbers of idle connections, a row each." default:"0,1000,10000"`
+	Servers     int           `help:"Server processes to spread them over." default:"1"`
+	Rate        float64       `help:"Busy tasks a second, over all servers." default:"1000"`
+	Busy        int           `help:"Busy connections to each server." default:"8"`
+	Checks      bool          `help:"Busy calls are health checks, which the server answers alone, in place of tasks."`
+	Seconds     float64       `help:"Seconds of each stretch that is measured." default:"2"`
+	Rounds      int           `help:"How often both are measured, in turns; the middle ratio counts." default:"5"`
+	Core        int           `help:"The core that all servers share; -1 for any." default:"1"`
+	JSON        string        `name:"json" help:"File for the rows, as an array." type:"path"`
+	Expire      bool          `help:"Have all idle connections reach their time in the same instant."`
+	Silent      time.Duration `help:"With --expire: how long a connection may be silent." default:"6s"`
+	Heeds       bool          `help:"With --expire: peers close when asked to; --no-heeds waits for the server." default:"true" negatable:""`
+	Counts      bool          `help:"Ask servers for their counts by SIGUSR1; --no-counts for versions that do not know it." default:"true" negatable:""`
+}
+
+func (c *idleCommand) Run(ctx context.Context) error {
+	plan := &idle.Plan{Program: c.Server, Connections: c.Connections, Servers: c.Servers, Rate: c.Rate, Busy: c.Busy,
+		Seconds: c.Seconds, Rounds: c.Rounds, Core: c.Core, Counts: c.Counts, Checks: c.Checks, Expire: c.Expire, Idle: c.Silent,
+		Heeds: c.Heeds, Say: os.Stderr}
+	if err := plan.Check(); err != nil {
+		return err
+	}
+	if err := fleet.KeepOff(c.Core); err != nil {
+		return err
+	}
+	debug.SetGCPercent(400) // the load's own pauses would be taken for the servers'
+	if c.Expire {
+		phases, err := idle.Expire(ctx, plan)
+		return print(c.JSON, idle.PhaseHeads, phases, err)
+	}
+	rows, err := idle.Run(ctx, plan)
+	return print(c.JSON, idle.Heads, rows, err)
+}
+
+// print shows what was measured, also where an error cut it short.
+func print[T interface{ Cells() []string }](path string, heads []string, rows []T, err error) error {
+	var cells [][]string
+	for _, r := range rows {
+		cells = append(cells, r.Cells())
+	}
+	if err2 := report.Table(os.Stdout, heads, cells); err == nil {
+		err = err2
+	}
+	if path != "" {
+		if err2 := report.JSON(path, rows); err == nil {
+			err = err2
+		}
+	}
+	return err
+}
+
+type holdCommand struct {
+	Addr  string `arg:""`
+	N     int    `arg:""`
+	Heeds bool
+}
+
+func (c *holdCommand) Run() error { return idle.Hold(os.Stdin, os.Stdout, c.Addr, c.N, c.Heeds) }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var p program
+	words := kong.Parse(&p, kong.Name("swiftlab"), kong.Description("The laboratory of swiftcourse: experiments with real servers on loopback."),
+		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := words.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "swiftlab:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -164,6 +164,33 @@
 	return <-done
 }
 
+// KeepOff keeps this process, and those that it starts from then on, off a core, so that what is measured there is the
+// servers' alone. A negative core, or a machine with no other, changes nothing.
+func KeepOff(core int) error {
+	var set unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &set); err != nil {
+		return err
+	}
+	if core < 0 || !set.IsSet(core) || set.Count() < 2 {
+		return nil
+	}
+	set.Clear(core)
+	threads, err := os.ReadDir("/proc/self/task") // new threads take it over from these
+	if err != nil {
+		return err
+	}
+	for _, t := range threads {
+		id, err := strconv.Atoi(t.Name())
+		if err != nil {
+			return err
+		}
+		if err := unix.SchedSetaffinity(id, &set); err != nil && !errors.Is(err, unix.ESRCH) { // one that has ended
+			return err
+		}
+	}
+	return nil
+}
+
 // mostLines of a server's log are kept for the error when it ends before its time.
 const mostLines = 20
 
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,241 @@
+// Package load drives servers in an open loop: tasks are sent when they are due, whether or not earlier ones were
+// answered, and latency counts from when a task was due. So a server that stands still is not spared.
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"swiftcourse/internal/standin/balancer"
+	"swiftcourse/internal/wire/rpc"
+)
+
+// Plan is what is sent.
+type Plan struct {
+	Addrs []string // of the servers, taken in turn
+	Conns int      // connections to each
+	Rate  float64  // tasks a second, Poisson
+	Stage string
+	Wait  time.Duration // of each task
+	Check bool          // send health checks in place of tasks: what the server answers alone
+	Body  int           // bytes
+	Seed  uint64
+}
+
+// Took is what came back in a stretch of time.
+type Took struct {
+	Latency                                     *hdrhistogram.Histogram // of finished tasks, in microseconds
+	Sent, Finished, Rejected, Abandoned, Unsent int
+	Lost                                        int           // not answered when the load had stopped
+	Late                                        time.Duration // how far behind the sender was, at most
+	Broken                                      int           // connections that ended
+	Stretch                                     time.Duration
+}
+
+// Latencies are kept from a microsecond to a minute, to three digits: a histogram of 200 KB.
+const (
+	leastMicros = 1
+	mostMicros  = 60e6
+	digits      = 3
+)
+
+// NewHistogram makes an empty histogram of microseconds.
+func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, digits) }
+
+// mostOpen is how many tasks may be open on one connection, by the protocol.
+const mostOpen = 32
+
+// Load is a load that goes on until it is stopped.
+type Load struct {
+	plan  Plan
+	stop  chan struct{}
+	done  chan struct{}
+	conns []*conn
+
+	mu   sync.Mutex
+	took Took
+	from time.Time
+}
+
+type conn struct {
+	*balancer.Conn
+	load *Load
+	mu   sync.Mutex
+	due  map[uint64]time.Time // of the tasks that are open
+}
+
+// Start opens the connections and begins to send.
+func Start(ctx context.Context, plan Plan) (*Load, error) {
+	if plan.Rate <= 0 || plan.Conns < 1 || len(plan.Addrs) == 0 {
+		return nil, errors.New("a load without a rate, a connection or a server")
+	}
+	l := &Load{plan: plan, stop: make(chan struct{}), done: make(chan struct{})}
+	for i := range plan.Conns * len(plan.Addrs) {
+		c := &conn{load: l, due: map[uint64]time.Time{}}
+		var err error
+		if c.Conn, err = balancer.Dial(ctx, plan.Addrs[i%len(plan.Addrs)], c.answered, c.ended); err != nil {
+			l.close()
+			return nil, err
+		}
+		l.conns = append(l.conns, c)
+	}
+	l.Take()
+	go l.send()
+	return l, nil
+}
+
+// Take gives what came back since the last Take, and begins anew.
+func (l *Load) Take() Took {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took := l.took
+	took.Stretch = time.Since(l.from)
+	l.took, l.from = Took{Latency: NewHistogram()}, time.Now()
+	return took
+}
+
+// Stop ends the load and gives what came back since the last Take. Answers still on their way have a moment to come.
+func (l *Load) Stop() Took {
+	close(l.stop)
+	<-l.done
+	for end := time.Now().Add(l.plan.Wait); l.open() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	took := l.Take()
+	took.Lost = l.open()
+	l.close()
+	return took
+}
+
+func (l *Load) open() (n int) {
+	for _, c := range l.conns {
+		c.mu.Lock()
+		n += len(c.due)
+		c.mu.Unlock()
+	}
+	return n
+}
+
+func (l *Load) close() {
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+// send sends on a thread of its own that turns instead of sleeping, as a sleep ends a millisecond late, which would be
+// taken for the server's.
+func (l *Load) send() {
+	defer close(l.done)
+	runtime.LockOSThread()
+	r := rand.New(rand.NewPCG(l.plan.Seed, 1))
+	body := make([]byte, l.plan.Body)
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(r.ExpFloat64() / l.plan.Rate * float64(time.Second)))
+		for time.Now().Before(due) {
+			select {
+			case <-l.stop:
+				return
+			default:
+			}
+		}
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		late := time.Since(due)
+		sent := l.conns[n%len(l.conns)].task(n, due, body)
+		l.mu.Lock()
+		l.took.Late = max(l.took.Late, late)
+		if sent {
+			l.took.Sent++
+		} else {
+			l.took.Unsent++
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (c *conn) task(n int, due time.Time, body []byte) bool {
+	number := c.Next()
+	c.mu.Lock()
+	full := len(c.due) >= mostOpen
+	if !full {
+		c.due[number] = due
+	}
+	c.mu.Unlock()
+	if full {
+		return false
+	}
+	p := &c.load.plan
+	if p.Check {
+		return c.CheckAs(number) == nil
+	}
+	return c.Task(&rpc.Message{Number: number, ID: fmt.Sprintf("%08x%08x", uint32(p.Seed), n), Stage: p.Stage,
+		Came: float64(due.UnixMicro()) / 1e6, Wait: p.Wait.Seconds(), Memory: 1, Rank: 0.5, Body: body}) == nil
+}
+
+func (c *conn) answered(a rpc.Answer) {
+	if a.End == rpc.PartSaid || a.End == rpc.Passed {
+		return
+	}
+	c.mu.Lock()
+	due, open := c.due[a.Number]
+	delete(c.due, a.Number)
+	c.mu.Unlock()
+	if !open {
+		return
+	}
+	took := time.Since(due)
+	l := c.load
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch a.End {
+	case rpc.Finished, rpc.WellSaid:
+		l.took.Finished++
+		_ = l.took.Latency.RecordValue(max(leastMicros, min(took.Microseconds(), mostMicros)))
+	case rpc.Rejected:
+		l.took.Rejected++
+	default:
+		l.took.Abandoned++
+	}
+}
+
+func (c *conn) ended(error) {
+	select {
+	case <-c.load.stop:
+		return
+	default:
+	}
+	c.load.mu.Lock()
+	c.load.took.Broken++
+	c.load.mu.Unlock()
+}
+
+// Add adds another stretch.
+func (t *Took) Add(o Took) {
+	if t.Latency == nil {
+		t.Latency = NewHistogram()
+	}
+	t.Latency.Merge(o.Latency)
+	t.Sent += o.Sent
+	t.Finished += o.Finished
+	t.Rejected += o.Rejected
+	t.Abandoned += o.Abandoned
+	t.Unsent += o.Unsent
+	t.Late = max(t.Late, o.Late)
+	t.Broken += o.Broken
+	t.Lost += o.Lost
+	t.Stretch += o.Stretch
+}
+
+// Quantile is the latency in microseconds that so many percent of the finished tasks kept to.
+func (t *Took) Quantile(percent float64) float64 { return float64(t.Latency.ValueAtQuantile(percent)) }
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -59,8 +59,9 @@
 	errUnasked = errors.New("more than was asked for")
 )
 
-// mostLanes is a quarter of the descriptors: balancers may open half of them.
-func (s *Server) mostLanes() int { return s.start.Sockets / 4 }
+// mostLanes is a quarter of the descriptors, as balancers may open half of them, and at most as many as a server of 1,024
+// descriptors has: more calls than that are never in hand on one core.
+func (s *Server) mostLanes() int { return min(s.start.Sockets/4, 256) }
 
 // call lets a task's call out.
 func (s *Server) call(t *memory.Task, wait float64) {
--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -86,8 +86,10 @@
 }
 
 // Check asks for the server's health.
-func (c *Conn) Check() error {
-	number := c.Next()
+func (c *Conn) Check() error { return c.CheckAs(c.Next()) }
+
+// CheckAs is Check with a number from Next.
+func (c *Conn) CheckAs(number uint64) error {
 	return c.put(func(b []byte) []byte { return rpc.PutCheck(b, number) })
 }
 
