--- a/internal/lab/idle/expire.go
+++ b/internal/lab/idle/expire.go
@@ -89,6 +89,7 @@
 	if open > 0 {
 		return nil, fmt.Errorf("%d connections stand %d s after their time", open, mostExpiry)
 	}
+	pause(ctx, 0.5) // what was sent meanwhile has its answer
 	if _, err = b.phase(l, "during", phases[0].Connections, &phases); err != nil {
 		return nil, err
 	}
