make demo: the real server calm, then at one and a half times what its cores can do

Need: a newcomer could not see the server work without a hand-written file and three parties. swiftlab demo starts it with stand-ins for processor, catalogue and roster, plays tasks of two stages with up to three attempts, shows progress, and ends with what was finished, late, rejected, abandoned and lost, and attempts, by stage.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
+# Shows the real server at work, with stand-ins for all that it speaks with.
+demo: build
+	bin/swiftlab demo
+
 test:
 	go test -count=1 -v ./...
 
--- a/cmd/swiftlab/main.go
+++ b/cmd/swiftlab/main.go
@@ -13,16 +13,38 @@
 
 	"github.com/alecthomas/kong"
 
+	"swiftcourse/internal/lab/demo"
 	"swiftcourse/internal/lab/fleet"
 	"swiftcourse/internal/lab/idle"
 	"swiftcourse/internal/lab/report"
 )
 
 type program struct {
+	Demo demoCommand `cmd:"" help:"The real server at work: calm, then overloaded."`
 	Idle idleCommand `cmd:"" help:"What idle connections cost, and what the busy ones feel of them."`
 	Hold holdCommand `cmd:"" hidden:""`
 }
 
+type demoCommand struct {
+	Server  string  `help:"The server's program." default:"bin/swiftcourse" type:"path"`
+	Seconds float64 `help:"Seconds of each part." default:"10"`
+	Over    float64 `help:"What is asked in the second part, over what the cores can do." default:"1.5"`
+	Log     bool    `help:"Show the server's log too."`
+	JSON    string  `name:"json" help:"File for the rows, as an array." type:"path"`
+}
+
+func (c *demoCommand) Run(ctx context.Context) error {
+	if c.Seconds < 0.5 || c.Seconds > 600 || c.Over <= 0 || c.Over > 20 {
+		return fmt.Errorf("--seconds %g --over %g: from 0.5 to 600 s, and over 0 and at most 20 times", c.Seconds, c.Over)
+	}
+	plan := &demo.Plan{Program: c.Server, Seconds: c.Seconds, Over: c.Over, Say: os.Stderr}
+	if c.Log {
+		plan.Log = os.Stderr
+	}
+	rows, err := demo.Run(ctx, plan)
+	return print(c.JSON, demo.Heads, rows, err)
+}
+
 type idleCommand struct {
 	Server      string        `help:"The server's program." default:"bin/swiftcourse" type:"path"`
 	Connections []int         `help:"Numbers of idle connections, a row each." default:"0,1000,10000"`
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,302 @@
+// Package demo shows a newcomer the real server at work: calm first, then at one and a half times what its cores can do.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"swiftcourse/choice"
+	"swiftcourse/internal/lab/fleet"
+	"swiftcourse/internal/standin/balancer"
+	"swiftcourse/internal/standin/catalogue"
+	"swiftcourse/internal/standin/processor"
+	wire "swiftcourse/internal/wire/catalogue"
+	"swiftcourse/internal/wire/rpc"
+	"swiftcourse/internal/wire/shale"
+)
+
+// Plan is the demonstration.
+type Plan struct {
+	Program string  // the server's binary
+	Seconds float64 // of each of its two parts
+	Over    float64 // what is asked in the second, over what the cores can do
+	Say     io.Writer
+	Log     io.Writer // the server's log, nil for none
+}
+
+// stage is one of the two kinds of task that are played.
+type stage struct {
+	name       string
+	part       float64 // of the tasks
+	work       float64 // seconds of a core, in the mean
+	calls      bool
+	due, limit float64 // seconds
+	utility    float64
+}
+
+var stages = []stage{
+	{"lookup", 0.7, 0.010, false, 0.5, 1.5, 1},
+	{"price", 0.3, 0.040, true, 1.5, 4, 3},
+}
+
+const (
+	cores    = 2
+	calmPart = 0.6                   // of what the cores can do, in the first part
+	replyIn  = 20 * time.Millisecond // of the tier below
+	conns    = 16
+	mostTry  = 3 // attempts a task
+	seed     = 20261201
+)
+
+// capacity is how many tasks a second the cores can do.
+func capacity() float64 {
+	mean := 0.0
+	for _, s := range stages {
+		mean += s.part * s.work
+	}
+	return cores / mean
+}
+
+// work draws how long a run takes: from its id, so that a repeat takes as long.
+func work(name, id string) float64 {
+	for _, s := range stages {
+		if s.name == name {
+			r := rand.New(rand.NewPCG(seed, uint64(crc32.ChecksumIEEE([]byte(id)))))
+			return s.work * min(4, r.ExpFloat64())
+		}
+	}
+	return 0
+}
+
+func told() shale.Told {
+	var t shale.Told
+	t.Servers = 1
+	for _, s := range stages {
+		t.Stages = append(t.Stages, shale.Stage{Name: s.name, Effect: "idempotent", DueTimeMs: s.due * 1000, TimeLimitMs: s.limit * 1000,
+			Utility: s.utility, LateUtility: 0.2})
+		t.Own.StageCalls = append(t.Own.StageCalls, s.calls)
+	}
+	t.Caps.Advice, t.Caps.AdviceMaxMs = true, 1000
+	t.Contract.Crowd, t.Contract.CrowdForMs, t.Contract.DrainGraceMs, t.Contract.AnswerSlackMs = 8, 1000, 500, 50
+	own := &t.Own
+	own.Below, own.Cores, own.MemoryKb, own.RunFactor, own.Callers, own.TellsWait = "tier", cores, 1e5, 2, 4, true
+	own.Gauges, own.IdleMs = []string{"cpu_busy", "runnable"}, 30_000
+	return t
+}
+
+// Row is what became of the tasks of a stage in one part.
+type Row struct {
+	Part      string  `json:"part"`
+	Stage     string  `json:"stage"`
+	Asked     int     `json:"asked"`
+	Finished  int     `json:"finished"` // in time
+	Late      int     `json:"late"`     // finished, after the due time
+	Rejected  int     `json:"rejected"`
+	Abandoned int     `json:"abandoned"`
+	Lost      int     `json:"lost"` // no answer within the time limit and its slack
+	Attempts  int     `json:"attempts"`
+	PerTask   float64 `json:"attempts_per_task"`
+}
+
+// Heads and Cells are those of the table.
+var Heads = []string{"part", "stage", "asked", "finished", "late", "rejected", "abandoned", "lost", "attempts", "a task"}
+
+// Cells are a row's in the table.
+func (r Row) Cells() []string {
+	return strings.Fields(fmt.Sprintf("%s %s %d %d %d %d %d %d %d %.2f", r.Part, r.Stage, r.Asked, r.Finished, r.Late, r.Rejected, r.Abandoned, r.Lost,
+		r.Attempts, r.PerTask))
+}
+
+// Run plays it.
+func Run(ctx context.Context, p *Plan) ([]Row, error) {
+	servers, err := fleet.Start(ctx, 1, fleet.Shape{Program: p.Program, Core: -1, Cores: 1, MemoryMB: 64, Sockets: 512,
+		Stop: 5 * time.Second, Told: told(), Log: p.Log,
+		Work: processor.Plan{Cores: cores, Work: work, Calls: func(name, _ string) bool { return name == "price" },
+			Gauges: func(busy, waiting int) []float64 { return []float64{float64(busy) / cores, float64(busy + waiting)} }},
+		Fate: func(int, wire.Call) catalogue.Fate {
+			return catalogue.Fate{After: replyIn, Outcome: choice.Finished, Body: []byte("a reply")}
+		}})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.End(servers)
+	fmt.Fprintf(p.Say, "a server with %d cores listens on %s; it can do %.0f tasks a second\n", cores, servers[0].Addr, capacity())
+	callers, err := dial(ctx, servers[0].Addr)
+	if err != nil {
+		return nil, err
+	}
+	var rows []Row
+	for i, part := range []struct {
+		name string
+		over float64
+	}{{"calm", calmPart}, {"overload", p.Over}} {
+		fmt.Fprintf(p.Say, "%s: %.0f tasks a second for %g s\n", part.name, part.over*capacity(), p.Seconds)
+		rows = append(rows, play(ctx, p, callers, part.name, part.over*capacity(), uint64(i))...)
+		if ctx.Err() != nil {
+			return rows, ctx.Err()
+		}
+	}
+	took, err := servers[0].Leave()
+	if err != nil {
+		return rows, fmt.Errorf("the server's end: %w", err)
+	}
+	did := servers[0].Processor.Counts()
+	fmt.Fprintf(p.Say, "told to leave, the server answered all and ended in %.2f s; %d runs, %d of them a second time\n", took.Seconds(), did.Begun, did.Twice)
+	return rows, nil
+}
+
+// play asks for tasks at a rate, and waits until all of them have their end.
+func play(ctx context.Context, p *Plan, callers []*caller, name string, rate float64, part uint64) []Row {
+	r := rand.New(rand.NewPCG(seed, part))
+	rows := make([]Row, len(stages))
+	for i := range rows {
+		rows[i].Part, rows[i].Stage = name, stages[i].name
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	from, said := time.Now(), time.Now()
+	for n, due := 0, 0.0; due < p.Seconds && ctx.Err() == nil; n++ {
+		if due += r.ExpFloat64() / rate; due >= p.Seconds {
+			break
+		}
+		of := 0
+		if r.Float64() >= stages[0].part {
+			of = 1
+		}
+		time.Sleep(time.Until(from.Add(time.Duration(due * float64(time.Second)))))
+		c := callers[n%len(callers)]
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			end, attempts := c.ask(ctx, &stages[of], fmt.Sprintf("%02x%012x", part, n))
+			mu.Lock()
+			defer mu.Unlock()
+			rows[of].book(end, attempts)
+		}()
+		if time.Since(said) > 2*time.Second {
+			said = time.Now()
+			mu.Lock()
+			fmt.Fprintf(p.Say, "  %3.0f s: %s\n", time.Since(from).Seconds(), progress(rows))
+			mu.Unlock()
+		}
+	}
+	wait.Wait()
+	for i := range rows {
+		rows[i].PerTask = float64(rows[i].Attempts) / float64(max(1, rows[i].Asked))
+	}
+	return rows
+}
+
+func progress(rows []Row) string {
+	var parts []string
+	for _, r := range rows {
+		parts = append(parts, fmt.Sprintf("%s %d finished, %d late, %d rejected", r.Stage, r.Finished, r.Late, r.Rejected+r.Abandoned))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// ending is how a task ended for its caller.
+type ending uint8
+
+const (
+	finished ending = iota
+	late
+	rejected
+	abandoned
+	lost
+)
+
+func (r *Row) book(end ending, attempts int) {
+	r.Asked++
+	r.Attempts += attempts
+	switch end {
+	case finished:
+		r.Finished++
+	case late:
+		r.Late++
+	case rejected:
+		r.Rejected++
+	case abandoned:
+		r.Abandoned++
+	case lost:
+		r.Lost++
+	}
+}
+
+// caller is a connection on which tasks are asked for.
+type caller struct {
+	*balancer.Conn
+	mu   sync.Mutex
+	open map[uint64]chan rpc.Answer
+}
+
+func dial(ctx context.Context, addr string) (all []*caller, err error) {
+	for range conns {
+		c := &caller{open: map[uint64]chan rpc.Answer{}}
+		if c.Conn, err = balancer.Dial(ctx, addr, c.answered, nil); err != nil {
+			return all, err
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
+
+func (c *caller) answered(a rpc.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if wait := c.open[a.Number]; wait != nil {
+		delete(c.open, a.Number)
+		wait <- a // it has room for one
+	}
+}
+
+// slack is how much longer than its time limit a caller waits for an answer before it counts as lost.
+const slack = 0.1
+
+// ask makes up to mostTry attempts within the task's time, and keeps away as long as it was advised to.
+func (c *caller) ask(ctx context.Context, of *stage, id string) (ending, int) {
+	from := time.Now()
+	for try := 1; ; try++ {
+		left := of.limit - time.Since(from).Seconds()
+		a, ok := c.attempt(ctx, of, fmt.Sprintf("%s%02x", id, try), left)
+		switch {
+		case !ok:
+			return lost, try
+		case a.End == rpc.Finished && time.Since(from).Seconds() <= of.due:
+			return finished, try
+		case a.End == rpc.Finished:
+			return late, try
+		case a.End == rpc.Abandoned:
+			return abandoned, try
+		}
+		away := max(a.Say.Advice, 0.02*float64(try))
+		if left = of.limit - time.Since(from).Seconds() - away; try == mostTry || a.Say.Last || left <= of.work {
+			return rejected, try
+		}
+		time.Sleep(time.Duration(away * float64(time.Second)))
+	}
+}
+
+func (c *caller) attempt(ctx context.Context, of *stage, id string, left float64) (rpc.Answer, bool) {
+	number, wait := c.Next(), make(chan rpc.Answer, 1)
+	c.mu.Lock()
+	c.open[number] = wait
+	c.mu.Unlock()
+	if err := c.Task(&rpc.Message{Number: number, ID: id, Stage: of.name, Came: float64(time.Now().UnixMilli()) / 1000, Wait: left,
+		Caller: 1, Memory: 10, Rank: 0.5, Body: []byte("a fare from here to there")}); err != nil {
+		return rpc.Answer{}, false
+	}
+	select {
+	case a := <-wait:
+		return a, true
+	case <-time.After(time.Duration((left + slack) * float64(time.Second))):
+	case <-ctx.Done():
+	}
+	return rpc.Answer{}, false
+}
