--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -6,8 +6,9 @@
 
 // Pool gives buffers and takes them back.
 type Pool struct {
-	free [][]byte
-	Out  int // buffers given and not back yet
+	free  [][]byte
+	lists [][][]byte // of the buffers of one Out, empty
+	Out   int        // buffers given and not back yet
 }
 
 // mostFree bounds the buffers kept for use again: 2 MiB, about what a burst of 200 tasks takes.
@@ -49,6 +50,9 @@
 // Add puts b behind what is there.
 func (o *Out) Add(p *Pool, b []byte) {
 	for len(b) > 0 {
+		if n := len(p.lists); o.parts == nil && n > 0 {
+			o.parts, p.lists = p.lists[n-1], p.lists[:n-1]
+		}
 		last := len(o.parts) - 1
 		if last < 0 || len(o.parts[last]) == Size {
 			o.parts, last = append(o.parts, p.Get()), last+1
@@ -61,15 +65,21 @@
 // Parts is all that was added, in order.
 func (o *Out) Parts() [][]byte { return o.parts }
 
-// Clear gives the buffers back.
+// Clear gives the buffers back, and the list of them, so that nothing is kept for what has nothing to write.
 func (o *Out) Clear(p *Pool) {
 	for i, b := range o.parts {
 		p.Put(b)
 		o.parts[i] = nil
 	}
-	o.parts = o.parts[:0]
+	if cap(o.parts) > 0 && cap(o.parts) <= mostParts && len(p.lists) < mostFree {
+		p.lists = append(p.lists, o.parts[:0])
+	}
+	o.parts = nil
 }
 
+// mostParts bounds the lists kept for use again: what a burst made longer is let go.
+const mostParts = 32
+
 // Shelf gives short lists of tasks and takes them back. The zero Shelf is empty.
 type Shelf struct{ free [][]*Task }
 
--- /dev/null
+++ b/internal/serve/idle_bench_test.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"swiftcourse/internal/life"
+	"swiftcourse/internal/wire/rpc"
+)
+
+// BenchmarkIdleHeap tells from a heap profile what a connection that was known once and says nothing keeps: what gnet keeps of it,
+// what the server keeps, and of the former what each place allocates. Run it alone:
+//
+//	go test -run '^$' -bench IdleHeap -benchtime 1x -memprofilerate 1 ./internal/serve
+func BenchmarkIdleHeap(b *testing.B) {
+	if runtime.MemProfileRate != 1 {
+		b.Skip("it needs -memprofilerate 1")
+	}
+	log.SetOutput(io.Discard)
+	const n = 4000
+	front, err := net.Listen("tcp", "127.0.0.9:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	addr := front.Addr().String()
+	front.Close()
+	s := New(&life.Start{Listen: addr, Sockets: 3 * n, Stop: 4, Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}})
+	s.door.Idle(1e9)
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	var open []net.Conn
+	for len(open) < n {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			if len(open) == 0 {
+				continue // it does not listen yet
+			}
+			b.Fatal(err)
+		}
+		_, _ = c.Write(rpc.PutCheck(nil, 1))
+		if _, err := c.Read(make([]byte, 16)); err != nil {
+			b.Fatal(err)
+		}
+		open = append(open, c)
+	}
+	runtime.GC()
+	runtime.GC() // the profile is that of the collection before the last
+	records := make([]runtime.MemProfileRecord, 20000)
+	count, _ := runtime.MemProfile(records, false)
+	kept := map[string]float64{}
+	for _, r := range records[:count] {
+		if whose := owner(r.Stack()); whose != "" {
+			kept[whose] += float64(r.InUseBytes()) / n
+		}
+	}
+	for whose, bytes := range kept {
+		b.ReportMetric(bytes, whose+"_B/conn")
+	}
+	b.ReportMetric(0, "ns/op")
+	for _, c := range open {
+		c.Close()
+	}
+	_ = s.engine.Stop(context.Background())
+	<-done
+}
+
+// owner tells whose an allocation on the server's loop is: that of the innermost function that is gnet's or the server's.
+func owner(stack []uintptr) string {
+	var whose string
+	onLoop := false
+	for frames := runtime.CallersFrames(stack); ; {
+		f, more := frames.Next()
+		name := f.Function
+		onLoop = onLoop || strings.Contains(name, "gnet/v2.(*eventloop)")
+		if whose == "" && strings.Contains(name, "gnet/v2") {
+			whose = "gnet_" + name[strings.LastIndex(name, ".")+1:]
+		}
+		if whose == "" && strings.HasPrefix(name, "swiftcourse/") {
+			whose = "server_" + name[strings.LastIndex(name, ".")+1:]
+		}
+		if !more {
+			break
+		}
+	}
+	if !onLoop {
+		return ""
+	}
+	return whose
+}
+
+var _ gnet.EventHandler = (*Server)(nil)
