The door's guard: caps, a reserve for those known, fair places, by address and prefix

Need: one health check made anybody known, nothing limited an address, and strangers that stay kept known callers out. A guarded door knows addresses and prefixes in books of fixed size, whose places turn over among those not known; being known is earned by tasks over seconds, or named; strangers may have the reserve lent but not keep it with tasks; who holds most loses first; those turned away get advice that doubles and is spread. Nothing uses it yet: the server's door has no rules.

--- a/internal/judge/door/door.go
+++ b/internal/judge/door/door.go
@@ -21,6 +21,8 @@
 	Busy                  // a task of it is open
 	Parting               // was asked to close
 	Ending                // is to be closed; Close was said of it
+	Lobby                 // accepted and not let in: what it asks is rejected
+	Turned                // has that answer, and is closed next
 	states
 )
 
@@ -80,6 +82,10 @@
 	{Parting, Due, Ending, end},
 
 	{Ending, Woke, Gone, resume},
+
+	{Lobby, Spoke, Turned, move},
+	{Lobby, Due, Ending, end},
+	{Turned, Due, Ending, end},
 }
 
 // Verb is what is to be done with a connection.
@@ -115,18 +121,30 @@
 	// measures. It may hurt where more than that come and go each second, whose connections then stay a little longer.
 	mostASlice = 4
 	sliceEvery = 0.001
+	// lobbyFor is how long one that was turned away has for its first message: that follows its connection at once, and a
+	// place in the lobby is a descriptor. What comes later crosses its close.
+	lobbyFor = 0.25
+	// turnedFor leaves the turn in which its answer is written.
+	turnedFor = 0.01
+	// mostLobby is mostASlice for the lobby, where each verdict follows an arrival and so is no burst of our own making.
+	mostLobby = 64
 	// mostLeaving is mostASlice for a server that leaves, whose tasks have all been answered.
 	mostLeaving = 128
 )
 
-// record is what is known of one connection; 32 bytes.
+// record is what is known of one connection; 48 bytes.
 type record struct {
 	since      float64 // when the time of its state began
 	heard      float64 // when something last went over it
 	prev, next int32   // in the queue of its state, counted from 1
+	back, fore int32   // in the list of its address, counted from 1
+	entry      int32   // of its address in the book, counted from 1; 0 where there is no book
 	state, was State
 	half       bool // a message is there in part
 	told       bool // it was asked to close
+	in         bool // it was let in, by a guarded door
+	listed     bool // in the list of its address: it may go for another
+	busy       bool // counted as busy there
 }
 
 // Door knows every connection's state. The zero Door is not ready; use New.
@@ -137,6 +155,7 @@
 		n           int
 	}
 	wait    [states]float64 // how long a connection may be in a state
+	*guard                  // nil where every address is alike
 	leaving bool
 	slice   float64 // when the next slice of verdicts may come
 	said    []Verdict
@@ -149,6 +168,7 @@
 		d.wait[s] = math.Inf(1)
 	}
 	d.wait[Stranger], d.wait[Half], d.wait[Known], d.wait[Parting] = speakIn, speakIn, idle, heedIn
+	d.wait[Lobby], d.wait[Turned] = lobbyFor, turnedFor
 	return d
 }
 
@@ -178,6 +198,9 @@
 // Leave books that a connection is gone.
 func (d *Door) Leave(slot int32) {
 	d.enter(slot, Gone, 0)
+	if d.guard != nil {
+		d.left(slot)
+	}
 	n := len(d.records)
 	for n > 0 && d.records[n-1].state == Gone {
 		n--
@@ -225,7 +248,22 @@
 
 // judged are the states whose time may be over, in the order in which it is looked at them: first those whose end
 // frees a descriptor.
-var judged = [...]State{Stranger, Half, Parting, Known}
+var judged = [...]State{Turned, Lobby, Stranger, Half, Parting, Known}
+
+// asked are the states in which a server that leaves asks for the close.
+func asked(s State) bool { return s == Stranger || s == Half || s == Known }
+
+// due is when the first connection of a state has to go on, infinite where none has.
+func (d *Door) due(s State) float64 {
+	slot := d.queues[s].first - 1
+	switch {
+	case slot < 0:
+		return math.Inf(1)
+	case s == Lobby && d.queues[s].n > d.guard.Rules.Lobby: // it has to make room
+		return d.records[slot].since
+	}
+	return d.records[slot].since + d.wait[s]
+}
 
 // Due says what is to be done at now: a slice of it, those whose time has been over for longest first in each state. It is good
 // until the next call.
@@ -234,21 +272,24 @@
 	if now < d.slice {
 		return nil
 	}
-	most, over := mostASlice, Due
+	most, rest := mostASlice, 0
 	if d.leaving {
 		most = mostLeaving
 	}
 	for _, s := range judged {
-		for len(d.said) < most {
-			slot := d.queues[s].first - 1
-			if slot < 0 || now < d.records[slot].since+d.wait[s] {
+		over := Due
+		if d.leaving && asked(s) {
+			over = Told
+		}
+		for now >= d.due(s) {
+			if s == Lobby || s == Turned {
+				if len(d.said) == mostLobby {
+					break
+				}
+			} else if rest++; rest > most {
 				break
 			}
-			over = Due
-			if d.leaving && s != Parting {
-				over = Told
-			}
-			d.step(slot, over, now)
+			d.step(d.queues[s].first-1, over, now)
 		}
 	}
 	if len(d.said) > 0 {
@@ -261,9 +302,7 @@
 func (d *Door) Next() float64 {
 	next := math.Inf(1)
 	for _, s := range judged {
-		if slot := d.queues[s].first - 1; slot >= 0 {
-			next = min(next, d.records[slot].since+d.wait[s])
-		}
+		next = min(next, d.due(s))
 	}
 	return max(next, d.slice)
 }
@@ -346,6 +385,9 @@
 		}
 	}
 	r.state, r.since, r.prev, r.next = s, now, 0, 0
+	if d.guard != nil {
+		d.moved(slot, now)
+	}
 	if s == Gone {
 		return
 	}
--- /dev/null
+++ b/internal/judge/door/guard.go
@@ -0,0 +1,434 @@
+package door
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"iter"
+	"math"
+	"net/netip"
+
+	"swiftcourse/internal/ring"
+)
+
+// Rules are what a guarded door goes by. A cap of 0 is none.
+type Rules struct {
+	Most            int            // connections that are let in
+	Reserve         int            // of these, what strangers can't keep from those known
+	PerAddress      int            // connections of a stranger's address; one that is known may have four times as many
+	PerPrefix       int            // of all strangers of a prefix
+	ArrivalsAddress float64        // a second, of an address; one that is known may have four times as many
+	ArrivalsPrefix  float64        // a second, of all strangers of a prefix
+	V4, V6          int            // bits of a prefix
+	Named           []netip.Prefix // are known from the start and always
+	Lobby           int            // places for those turned away, until their first message has its answer
+	Remember        int            // addresses and prefixes remembered without a connection
+	Earn            int            // tasks finished, in as many seconds at least, that make an address known
+	Forget          float64        // seconds in which what was earned is halved
+	ComeBack        float64        // the least advice to those turned away
+	ComeBackMost    float64        // the most
+	Share           float64        // of a core, that arrivals may take
+	Seed            int64          // of the chance that spreads those turned away
+}
+
+// Cause is why one was turned away.
+type Cause uint8
+
+const (
+	LetIn      Cause = iota
+	OverRate         // its address or prefix arrives too often
+	OverCap          // its address or prefix holds as many as it may
+	NoPlace          // all places are taken, and none of those who have one holds more than its fair part
+	NoLobby          // even the lobby is full: it is to be closed unheard
+	causeCount       // how many there are
+)
+
+const (
+	// knownTimes is how many times a stranger's caps hold for an address that is known: there may be many machines behind
+	// one gateway. Named ones have no cap.
+	knownTimes = 4
+	// burst is for how many seconds arrivals are saved up: half of all balancers return within a second.
+	burst = 2
+	// earnEvery is how often, in seconds, a finished task counts for its address: so being known takes time, and a burst of tasks does not buy it.
+	earnEvery = 1
+	// mostCredit bounds what is earned, so that what was known for days is forgotten in hours.
+	mostCredit = 64
+	// turnedHalf is the half life, in seconds, of what an address was turned away; each time doubles its advice, up to the most.
+	turnedHalf = 5
+	// yieldAfter is how long, in seconds, one must have been silent to go for another whose address would then hold as many.
+	yieldAfter = 0.5
+	// lobbyOver is by how much more than twice its places the lobby may overflow before a newcomer is closed unheard.
+	lobbyOver = 64
+	// firstCost is what an arrival is taken to cost, in seconds of the core, until arrivals in a row have shown it: more than
+	// on any machine seen, and still hundreds a second.
+	firstCost = 400e-6
+	// costFor and costBuckets are how long the least gap between arrivals counts.
+	costFor     = 1.0
+	costBuckets = 10
+)
+
+// guard is the part of a door that knows addresses.
+type guard struct {
+	Rules
+	addresses, prefixes *book
+	in                  int    // connections that were let in
+	busyStrangers       int    // of these, those with a task open whose address is not known
+	turns               uint32 // chance drawn so far
+	turned              [causeCount]int
+	gaps                ring.Lowest // between arrivals in a row
+	arrivedAt           float64
+}
+
+// NewGuarded makes a door that goes by rules.
+func NewGuarded(idle float64, rules Rules) *Door {
+	d := New(idle)
+	places := rules.Most + 2*rules.Lobby + lobbyOver
+	d.guard = &guard{Rules: rules, addresses: newBook(places, rules.Remember), prefixes: newBook(places, rules.Remember), gaps: ring.NewLowest(costBuckets, costFor, 0),
+		arrivedAt: math.Inf(-1)}
+	return d
+}
+
+// Guarded tells whether the door goes by rules.
+func (d *Door) Guarded() bool { return d.guard != nil }
+
+// Turned counts those turned away for a cause.
+func (d *Door) Turned(c Cause) int {
+	if d.guard == nil {
+		return 0
+	}
+	return d.turned[c]
+}
+
+// Arrive books a new connection from an address at a slot that is free. Where it returns LetIn the connection is in. NoPlace
+// says that another has to go for it: say Admit once one of Yields is gone, or TurnAway. All others are in the
+// lobby, and what they ask is to be rejected with the advice.
+func (d *Door) Arrive(slot int32, addr netip.Addr, now float64) (c Cause, advice float64) {
+	g := d.guard
+	if g == nil {
+		d.Open(slot, now)
+		return LetIn, 0
+	}
+	g.gaps.Take(now, max(1e-6, now-g.arrivedAt))
+	g.arrivedAt = now
+	for int(slot) >= len(d.records) {
+		d.records = append(d.records, record{})
+	}
+	if d.queues[Lobby].n+d.queues[Turned].n >= 2*g.Lobby+lobbyOver {
+		g.turned[NoLobby]++
+		d.records[slot] = record{heard: now}
+		d.enter(slot, Ending, now)
+		return NoLobby, 0
+	}
+	at := g.entryOf(addr)
+	d.records[slot] = record{heard: now, entry: at + 1}
+	g.decay(at, now)
+	e := &g.addresses.entries[at]
+	p := &g.prefixes.entries[e.prefix]
+	e.waits++
+	p.waits++
+	g.addresses.settle(at)
+	g.prefixes.settle(e.prefix)
+	d.enter(slot, Lobby, now)
+	switch times := g.times(e); {
+	case math.IsInf(times, 1):
+	case !e.take(now, g.ArrivalsAddress*times), !e.known && !p.take(now, g.ArrivalsPrefix):
+		c = OverRate
+	case g.PerAddress > 0 && float64(e.conns) >= float64(g.PerAddress)*times, !e.known && g.PerPrefix > 0 && int(p.strange) >= g.PerPrefix:
+		c = OverCap
+	}
+	switch {
+	case c != LetIn:
+		return c, d.TurnAway(slot, c, now)
+	case !g.hasPlace(e):
+		return NoPlace, 0
+	}
+	d.Admit(slot, now)
+	return LetIn, 0
+}
+
+// entryOf finds or makes the entries of an address and its prefix.
+func (g *guard) entryOf(addr netip.Addr) int32 {
+	k := keyOf(addr, 32, 128)
+	at, fresh := g.addresses.get(k)
+	e := &g.addresses.entries[at]
+	if fresh {
+		e.named = g.isNamed(addr.Unmap())
+		e.known = e.named
+	}
+	// The prefix may have been forgotten meanwhile, as it holds no connection of this address.
+	if prefix := keyOf(addr, g.V4, g.V6); e.prefix < 0 || g.prefixes.entries[e.prefix].queue == free || g.prefixes.entries[e.prefix].key != prefix {
+		e.prefix, _ = g.prefixes.get(prefix)
+	}
+	return at
+}
+
+func (g *guard) isNamed(addr netip.Addr) bool {
+	for _, p := range g.Named {
+		if p.Contains(addr) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *guard) times(e *entry) float64 {
+	switch {
+	case e.named:
+		return math.Inf(1)
+	case e.known:
+		return knownTimes
+	}
+	return 1
+}
+
+// take uses up one arrival of the allowance; a rate of 0 is no cap.
+func (e *entry) take(now, rate float64) bool {
+	if rate == 0 {
+		return true
+	}
+	most := max(1, burst*rate)
+	e.left = min(most, e.left+max(0, min(now-e.leftAt, burst))*rate)
+	if math.IsInf(e.leftAt, -1) {
+		e.left = most
+	}
+	e.leftAt = now
+	if e.left < 1 {
+		return false
+	}
+	e.left--
+	return true
+}
+
+// hasPlace tells whether one more of an address can be let in as it is: strangers may have the reserve lent as long as it is free,
+// but for the last eighth of it, which those known find free at any moment.
+func (g *guard) hasPlace(e *entry) bool {
+	if e.known {
+		return g.in < g.Most
+	}
+	return g.in < g.Most-(g.Reserve+7)/8
+}
+
+// Admit lets a connection in from the lobby.
+func (d *Door) Admit(slot int32, now float64) {
+	r := &d.records[slot]
+	e, p := d.entries(r)
+	p.waits--
+	p.conns++
+	e.waits--
+	e.conns++
+	if d.in++; !e.known {
+		p.strange++
+	}
+	r.in = true
+	d.enter(slot, Stranger, now)
+}
+
+// entries are those of a connection's address and prefix.
+func (g *guard) entries(r *record) (address, prefix *entry) {
+	address = &g.addresses.entries[r.entry-1]
+	return address, &g.prefixes.entries[address.prefix]
+}
+
+// left takes a connection that is gone off its address.
+func (d *Door) left(slot int32) {
+	g, r := d.guard, &d.records[slot]
+	if r.entry == 0 {
+		return
+	}
+	e, p := g.entries(r)
+	if !r.in {
+		e.waits--
+		p.waits--
+	} else {
+		g.in--
+		e.conns--
+		if p.conns--; !e.known {
+			p.strange--
+		}
+	}
+	g.addresses.settle(r.entry - 1)
+	g.prefixes.settle(e.prefix)
+	r.entry, r.in = 0, false
+}
+
+// moved keeps the list of a connection's address, after it entered a state: in it are those of which none has a task open, in the order in
+// which they were last heard.
+func (d *Door) moved(slot int32, now float64) {
+	r := &d.records[slot]
+	if r.entry == 0 {
+		return
+	}
+	e := &d.addresses.entries[r.entry-1]
+	may := r.in && (asked(r.state) || r.state == Parting)
+	if r.listed && (!may || r.heard == now) {
+		r.listed = false
+		e.idle--
+		if r.back > 0 {
+			d.records[r.back-1].fore = r.fore
+		} else {
+			e.first = r.fore
+		}
+		if r.fore > 0 {
+			d.records[r.fore-1].back = r.back
+		} else {
+			e.last = r.back
+		}
+	}
+	if may && !r.listed {
+		r.listed = true
+		e.idle++
+		if r.back, r.fore = e.last, 0; r.back > 0 {
+			d.records[r.back-1].fore = slot + 1
+		} else {
+			e.first = slot + 1
+		}
+		e.last = slot + 1
+	}
+	if busy := r.in && r.state == Busy; busy != r.busy {
+		r.busy = busy
+		by := int32(1)
+		if !busy {
+			by = -1
+		}
+		if e.busy += by; !e.known {
+			d.busyStrangers += int(by)
+		}
+	}
+	d.addresses.settle(r.entry - 1)
+}
+
+// TurnAway keeps a connection in the lobby, until its first message has its answer or its time there is over, and gives the
+// advice when to come back: longer each time, and spread by chance, so that those turned away together do not return
+// together.
+func (d *Door) TurnAway(slot int32, c Cause, now float64) (advice float64) {
+	g := d.guard
+	g.turned[c]++
+	e := &g.addresses.entries[d.records[slot].entry-1]
+	e.turned = halved(e.turned, turnedHalf, now-e.turnedAt) + 1
+	e.turnedAt = now
+	base := min(g.ComeBackMost/2, g.ComeBack*math.Exp2(min(e.turned-1, 16)))
+	g.turns++
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(g.Seed))
+	binary.LittleEndian.PutUint32(b[8:], g.turns)
+	return base * (1 + float64(crc32.ChecksumIEEE(b[:]))/math.MaxUint32)
+}
+
+// Advice is TurnAway's for one that is in: it asks again while its address may not have another task open.
+func (d *Door) Advice(slot int32, now float64) float64 { return d.TurnAway(slot, NoPlace, now) }
+
+// MayOwe tells whether a connection may open a task. Strangers that have the reserve lent may not keep it with tasks that run, as those
+// could not be called back at once.
+func (d *Door) MayOwe(slot int32) bool {
+	g, r := d.guard, &d.records[slot]
+	if g == nil || r.state == Busy {
+		return true
+	}
+	if !r.in {
+		return false
+	}
+	e := &g.addresses.entries[r.entry-1]
+	return e.known || g.busyStrangers < g.Most-g.Reserve
+}
+
+// Yields lists the connections of which one may go for the one at a slot, the first to go first. Strangers of which nothing came in
+// their time go before all; then those of the address that holds the most, the one silent for longest first. A stranger takes no place of
+// those known, and nobody takes one of an address that holds fewer than its own would then: so the parts of all addresses that want more
+// become equal, and one address with many connections loses its own first. Where both would hold as many, one goes that was silent
+// for yieldAfter. Last come its own, which a caller that came back after a crash may have left behind.
+func (d *Door) Yields(slot int32, now float64) iter.Seq[int32] {
+	return func(yield func(int32) bool) {
+		g := d.guard
+		own := &g.addresses.entries[d.records[slot].entry-1]
+		for at := d.queues[Stranger].first - 1; at >= 0 && now-d.records[at].since > speakSoon; at = d.records[at].next - 1 {
+			if !g.addresses.entries[d.records[at].entry-1].known && !yield(at) {
+				return
+			}
+		}
+		for _, known := range []bool{false, true} {
+			if known && !own.known {
+				break
+			}
+			least := int32(1)
+			if known == own.known {
+				least = own.conns + 1
+			}
+			for rank := g.addresses.highest(known); rank >= least; rank-- {
+				for i := g.addresses.rank(known, rank).first - 1; i >= 0; i = g.addresses.entries[i].next - 1 {
+					for at := g.addresses.entries[i].first - 1; at >= 0; at = d.records[at].fore - 1 {
+						even := known == own.known && rank == own.conns+1
+						if even && now-d.records[at].heard < yieldAfter { // the rest of them were heard later
+							break
+						}
+						if !yield(at) {
+							return
+						}
+					}
+				}
+			}
+		}
+		for at := own.first - 1; at >= 0; at = d.records[at].fore - 1 {
+			if !yield(at) {
+				return
+			}
+		}
+	}
+}
+
+// Finished books that a task of a connection was finished: its address earns by it.
+func (d *Door) Finished(slot int32, now float64) {
+	g, r := d.guard, &d.records[slot]
+	if g == nil || r.entry == 0 {
+		return
+	}
+	at := r.entry - 1
+	e := &g.addresses.entries[at]
+	if e.credit > 0 && now-e.earnedAt < earnEvery {
+		return
+	}
+	e.credit = min(mostCredit, halved(e.credit, g.Forget, now-e.earnedAt)+1)
+	e.earnedAt = now
+	if !e.known && e.credit >= float64(g.Earn)-0.5 { // the first ones have decayed a little
+		g.know(at, true)
+	}
+}
+
+// decay has an address that is known be so no longer where it earned nothing for long.
+func (g *guard) decay(at int32, now float64) {
+	e := &g.addresses.entries[at]
+	if e.known && !e.named && halved(e.credit, g.Forget, now-e.earnedAt) < float64(g.Earn)/2 {
+		g.know(at, false)
+	}
+}
+
+// know makes an address known, or takes that back.
+func (g *guard) know(at int32, known bool) {
+	e := &g.addresses.entries[at]
+	by := e.conns
+	if known {
+		by = -by
+	}
+	e.known = known
+	g.prefixes.entries[e.prefix].strange += by
+	g.busyStrangers += int(e.busy) * sign(by)
+	g.addresses.settle(at)
+}
+
+func sign(n int32) int {
+	switch {
+	case n < 0:
+		return -1
+	case n > 0:
+		return 1
+	}
+	return 0
+}
+
+// Pace is how many arrivals a second may be accepted: what the told share of a core does at what an arrival costs. That is the
+// least gap between two in a row, over the last ten seconds: in a storm they come one right after the other.
+func (d *Door) Pace(now float64) float64 {
+	cost := firstCost
+	if least := d.gaps.Min(now); least > 0 {
+		cost = min(cost, least)
+	}
+	return d.Share / cost
+}
