--- a/internal/judge/door/guard.go
+++ b/internal/judge/door/guard.go
@@ -56,12 +56,12 @@
 	turnedHalf = 5
 	// yieldAfter is how long, in seconds, one must have been silent to go for another whose address would then hold as many.
 	yieldAfter = 0.5
-	// lobbyOver is by how much more than twice its places the lobby may overflow before a newcomer is closed unheard.
-	lobbyOver = 64
 	// firstCost is what an arrival is taken to cost, in seconds of the core, until arrivals in a row have shown it: more than
 	// on any machine seen, and still hundreds a second.
 	firstCost = 400e-6
-	// costFor and costBuckets are how long the least gap between arrivals counts.
+	// costOf is how many arrivals show what one costs: fewer would share what else the core did meanwhile.
+	costOf = 50
+	// costFor and costBuckets are how long the least cost counts.
 	costFor     = 1.0
 	costBuckets = 10
 )
@@ -74,16 +74,18 @@
 	busyStrangers       int    // of these, those with a task open whose address is not known
 	turns               uint32 // chance drawn so far
 	turned              [causeCount]int
-	gaps                ring.Lowest // between arrivals in a row
-	arrivedAt           float64
+	changed             bool        // who is known, since Regulars
+	costs               ring.Lowest // seconds of a core that an arrival took
+	arrivals            int         // since cost was told last
+	spent               float64     // of a core, when it was
 }
 
 // NewGuarded makes a door that goes by rules.
 func NewGuarded(idle float64, rules Rules) *Door {
 	d := New(idle)
-	places := rules.Most + 2*rules.Lobby + lobbyOver
-	d.guard = &guard{Rules: rules, addresses: newBook(places, rules.Remember), prefixes: newBook(places, rules.Remember), gaps: ring.NewLowest(costBuckets, costFor, 0),
-		arrivedAt: math.Inf(-1)}
+	places := rules.Most + 4*rules.Lobby + 64 // those known may overflow the lobby for a moment
+	d.guard = &guard{Rules: rules, addresses: newBook(places, rules.Remember), prefixes: newBook(places, rules.Remember),
+		costs: ring.NewLowest(costBuckets, costFor, 0)}
 	return d
 }
 
@@ -107,20 +109,21 @@
 		d.Open(slot, now)
 		return LetIn, 0
 	}
-	g.gaps.Take(now, max(1e-6, now-g.arrivedAt))
-	g.arrivedAt = now
+	g.arrivals++
 	for int(slot) >= len(d.records) {
 		d.records = append(d.records, record{})
 	}
-	if d.queues[Lobby].n+d.queues[Turned].n >= 2*g.Lobby+lobbyOver {
+	at := g.entryOf(addr)
+	if at >= 0 {
+		g.decay(at, now)
+	}
+	if at < 0 || !g.addresses.entries[at].known && d.queues[Lobby].n+d.queues[Turned].n >= 2*g.Lobby {
 		g.turned[NoLobby]++
 		d.records[slot] = record{heard: now}
 		d.enter(slot, Ending, now)
 		return NoLobby, 0
 	}
-	at := g.entryOf(addr)
 	d.records[slot] = record{heard: now, entry: at + 1}
-	g.decay(at, now)
 	e := &g.addresses.entries[at]
 	p := &g.prefixes.entries[e.prefix]
 	e.waits++
@@ -145,10 +148,13 @@
 	return LetIn, 0
 }
 
-// entryOf finds or makes the entries of an address and its prefix.
+// entryOf finds or makes the entries of an address and its prefix; -1 where there is no place for them.
 func (g *guard) entryOf(addr netip.Addr) int32 {
 	k := keyOf(addr, 32, 128)
 	at, fresh := g.addresses.get(k)
+	if at < 0 {
+		return -1
+	}
 	e := &g.addresses.entries[at]
 	if fresh {
 		e.named = g.isNamed(addr.Unmap())
@@ -156,7 +162,9 @@
 	}
 	// The prefix may have been forgotten meanwhile, as it holds no connection of this address.
 	if prefix := keyOf(addr, g.V4, g.V6); e.prefix < 0 || g.prefixes.entries[e.prefix].queue == free || g.prefixes.entries[e.prefix].key != prefix {
-		e.prefix, _ = g.prefixes.get(prefix)
+		if e.prefix, _ = g.prefixes.get(prefix); e.prefix < 0 {
+			return -1
+		}
 	}
 	return at
 }
@@ -407,7 +415,7 @@
 	if known {
 		by = -by
 	}
-	e.known = known
+	e.known, g.changed = known, true
 	g.prefixes.entries[e.prefix].strange += by
 	g.busyStrangers += int(e.busy) * sign(by)
 	g.addresses.settle(at)
@@ -423,12 +431,73 @@
 	return 0
 }
 
-// Pace is how many arrivals a second may be accepted: what the told share of a core does at what an arrival costs. That is the
-// least gap between two in a row, over the last ten seconds: in a storm they come one right after the other.
+// Spent tells the door how many seconds of a core the server has used so far, so that it learns what an arrival costs: the least that was
+// spent on each of some in a row, with all that was done beside. In a storm hardly anything else is.
+func (d *Door) Spent(spent, now float64) {
+	if g := d.guard; g.arrivals >= costOf {
+		g.costs.Take(now, max(1e-6, (spent-g.spent)/float64(g.arrivals)))
+		g.arrivals, g.spent = 0, spent
+	} else if g.arrivals == 0 {
+		g.spent = spent
+	}
+}
+
+// Pace is how many arrivals a second may be accepted: what the told share of a core does, at what an arrival costs.
 func (d *Door) Pace(now float64) float64 {
 	cost := firstCost
-	if least := d.gaps.Min(now); least > 0 {
+	if least := d.costs.Min(now); least > 0 {
 		cost = min(cost, least)
 	}
 	return d.Share / cost
 }
+
+// Regulars gives the addresses that are known by what they earned, for whoever has to tell them from strangers where the door is not.
+// It gives none and false where they are the same as the last time.
+func (d *Door) Regulars() (known map[netip.Addr]bool, changed bool) {
+	g := d.guard
+	if !g.changed {
+		return nil, false
+	}
+	g.changed = false
+	known = map[netip.Addr]bool{}
+	for i := range g.addresses.entries {
+		if e := &g.addresses.entries[i]; e.queue != free && e.known && !e.named {
+			known[netip.AddrFrom16(e.key).Unmap()] = true
+		}
+	}
+	return known, true
+}
+
+// Heed has a door go by other rules from now on. It tells whether all of them hold: sizes and lengths of prefixes stay as they were
+// until a restart.
+func (d *Door) Heed(r Rules) (all bool) {
+	g := d.guard
+	was := g.Rules
+	all = r.V4 == was.V4 && r.V6 == was.V6 && r.Lobby == was.Lobby && r.Remember == was.Remember && r.Most == was.Most
+	r.V4, r.V6, r.Lobby, r.Remember, r.Most = was.V4, was.V6, was.Lobby, was.Remember, was.Most
+	g.Rules = r
+	for i := range g.addresses.entries {
+		e := &g.addresses.entries[i]
+		if e.queue == free {
+			continue
+		}
+		e.named = g.isNamed(netip.AddrFrom16(e.key).Unmap())
+		if e.named && !e.known {
+			g.know(int32(i), true)
+		}
+	}
+	return all
+}
+
+// Tally is what a guarded door holds.
+type Tally struct {
+	In, Most, BusyStrangers int // connections
+	Addresses, Known        int // remembered, with those that have a connection; of these, known without one
+}
+
+// Known tells what a guarded door holds.
+func (d *Door) Known() Tally {
+	g := d.guard
+	return Tally{In: g.in, Most: g.Most, BusyStrangers: g.busyStrangers,
+		Addresses: len(g.addresses.entries) - int(g.addresses.queues[free].n), Known: int(g.addresses.queues[remembers].n)}
+}
--- a/internal/judge/door/guard_test.go
+++ b/internal/judge/door/guard_test.go
@@ -324,7 +324,7 @@
 	for slot := range int32(1000) { // in one instant, from one address
 		cause, _ := c.d.Arrive(slot, netip.MustParseAddr("10.1.1.1"), c.now)
 		causes[cause]++
-		if n := c.d.Count(Lobby); n > 2*c.rules.Lobby+lobbyOver {
+		if n := c.d.Count(Lobby); n > 2*c.rules.Lobby {
 			t.Fatalf("%d in the lobby", n)
 		}
 	}
@@ -341,7 +341,7 @@
 		}
 		c.now += 0.001
 	}
-	if closed < lobbyOver || c.d.Count(Lobby) > c.rules.Lobby {
+	if closed < c.rules.Lobby || c.d.Count(Lobby) > c.rules.Lobby {
 		t.Errorf("%d closed, %d in the lobby", closed, c.d.Count(Lobby))
 	}
 }
@@ -351,7 +351,7 @@
 	for _, n := range []int{1000, 1_000_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := rules()
-			r.Most, r.Reserve, r.Remember = 10_000, 2_000, 8192
+			r.Most, r.Reserve, r.Remember, r.PerPrefix, r.ArrivalsPrefix = 10_000, 2_000, 8192, 0, 0
 			d := NewGuarded(30, r)
 			for slot := range int32(9000) {
 				d.Arrive(slot, netip.AddrFrom4([4]byte{12, 0, byte(slot >> 8), byte(slot)}), 0)
@@ -361,7 +361,9 @@
 			b.ResetTimer()
 			for i := range b.N {
 				now, a := 1+float64(i)*1e-4, i%n
-				d.Arrive(9000, netip.AddrFrom4([4]byte{11, byte(a >> 16), byte(a >> 8), byte(a)}), now)
+				if c, _ := d.Arrive(9000, netip.AddrFrom4([4]byte{11, byte(a >> 16), byte(a >> 8), byte(a)}), now); c != LetIn && c != OverRate {
+					b.Fatal(c)
+				}
 				d.Tell(9000, Spoke, now)
 				d.Leave(9000)
 			}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -36,6 +36,8 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
+	Real     int    // descriptors that the system gives a server, where that is not what it is told; 0 where it is
+	Conf     string // text of the operator's file, "" for none
 	Stop     time.Duration
 	Told     shale.Told
 	Work     processor.Plan
@@ -124,6 +126,13 @@
 	}
 	s.process = exec.CommandContext(ctx, shape.Program)
 	s.process.Env = append(os.Environ(), "RELAY_NAME="+name, "RELAY_LISTEN="+s.Addr, "RELAY_CONFIG="+path)
+	if shape.Conf != "" {
+		conf := filepath.Join(s.folder, "swiftcourse.conf")
+		if err = os.WriteFile(conf, []byte(shape.Conf), 0o600); err != nil {
+			return nil, err
+		}
+		s.process.Env = append(s.process.Env, "SWIFTCOURSE_CONF="+conf)
+	}
 	said, err := s.process.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -132,6 +141,12 @@
 		return nil, fmt.Errorf("%s: %w (make build makes it)", shape.Program, err)
 	}
 	go s.listen(said, shape.Log)
+	if shape.Real > 0 {
+		limit := unix.Rlimit{Cur: uint64(shape.Real), Max: uint64(shape.Real)}
+		if err = unix.Prlimit(s.process.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
--- a/internal/life/start.go
+++ b/internal/life/start.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"syscall"
 
 	"swiftcourse/choice"
 	"swiftcourse/internal/wire/shale"
@@ -65,7 +66,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	return Parse(text, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	start, err := Parse(text, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	if err != nil {
+		return nil, err
+	}
+	start.Sockets = min(start.Sockets, descriptors()) // else accept would fail, and end the loop
+	return start, nil
+}
+
+// descriptors is how many this process may have.
+func descriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32
+	}
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 // Parse checks the configuration's text; name and listen are what the environment says, or "".
--- /dev/null
+++ b/internal/serve/accept.go
@@ -0,0 +1,262 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+
+	"swiftcourse/internal/wire/rpc"
+)
+
+// acceptor accepts connections for a server whose door is guarded, and hands them to the loop. gnet's own accept ends the engine
+// when it fails for want of a descriptor or of memory; this one waits and goes on. Its goroutine decides nothing but when to wait.
+type acceptor struct {
+	server   *Server
+	listener *net.TCPListener
+	accept   func() (*net.TCPConn, error) // the listener's; a test has it fail
+	spare    *os.File                     // a descriptor to give up when there is no other
+	pace     atomic.Uint64                // strangers a second, as the bits of a float64, from the door
+	regulars atomic.Pointer[regulars]     // who goes past that, from the door
+	pending  chan struct{}                // has a place for each connection on its way to the loop
+	failed   atomic.Int64                 // accepts that failed for want of something
+	hurried  atomic.Int64                 // strangers over the pace, closed here
+	said     time.Time
+	learnt   float64 // when the loop told the door last what was spent
+}
+
+// regulars are those whom the acceptor lets past the pace.
+type regulars struct {
+	named []netip.Prefix
+	known map[netip.Addr]bool
+}
+
+func (r *regulars) has(addr netip.Addr) bool {
+	return r.known[addr] || slices.ContainsFunc(r.named, func(p netip.Prefix) bool { return p.Contains(addr) })
+}
+
+const (
+	// backOff is how long to wait after a vain accept, doubled up to backOffMost: short beside a second, in which those known are to get
+	// in, and long beside what a try costs.
+	backOff     = 2 * time.Millisecond
+	backOffMost = 50 * time.Millisecond
+	// hearFor is how long one that is accepted by the spare descriptor has for its first message.
+	hearFor = 10 * time.Millisecond
+	// paceBurst is for how long, in seconds, the pace is saved up: half of all balancers may return together, and
+	// after a restart none of them is known.
+	paceBurst = 1.0
+)
+
+// listenAs opens the server's listener. Like gnet's it leaves the address open to a successor.
+func listenAs(addr string) (*net.TCPListener, error) {
+	config := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		return errors.Join(raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}), err)
+	}}
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// runGuarded is Run with an acceptor of our own.
+func (s *Server) runGuarded() error {
+	l, err := listenAs(s.start.Listen)
+	if err != nil {
+		return err
+	}
+	a := &acceptor{server: s, listener: l, accept: l.AcceptTCP, pending: make(chan struct{}, s.lobbyPlaces())}
+	a.pace.Store(math.Float64bits(s.door.Pace(s.now())))
+	a.regulars.Store(&regulars{named: s.door.Named})
+	a.takeSpare()
+	s.acceptor = a
+	loops, err := gnet.NewClient(s, gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(logger{}), gnet.WithLogLevel(logging.WarnLevel))
+	if err != nil {
+		return err
+	}
+	s.first = func(ctx context.Context) (<-chan gnet.RegisteredResult, error) { // the engine's own needs a listener of its own
+		c, _ := gnet.FromNetConnContext(ctx)
+		_, err := loops.EnrollContext(c, gnet.FromContext(ctx))
+		return nil, err
+	}
+	if err := loops.Start(); err != nil {
+		return err
+	}
+	go a.run()
+	<-s.finished
+	a.close()
+	return loops.Stop()
+}
+
+// run accepts until the listener closes. All is accepted at once, as who is known waits in the same queue of the system as strangers do;
+// strangers over the pace are closed here, which costs a fifth of what it does on the loop.
+func (a *acceptor) run() {
+	<-a.server.looping // the first link to be dialled makes the loop known
+	wait, tokens, at := backOff, math.Inf(1), time.Now() // full
+	for {
+		c, err := a.accept()
+		switch {
+		case err == nil:
+			wait = backOff
+			pace, now := math.Float64frombits(a.pace.Load()), time.Now()
+			tokens = min(max(1, pace*paceBurst), tokens+now.Sub(at).Seconds()*pace)
+			at = now
+			switch {
+			case a.regulars.Load().has(addrOf(c.RemoteAddr()).Unmap()):
+			case tokens >= 1:
+				tokens--
+			default:
+				a.hurried.Add(1)
+				politely(c, 0)
+				continue
+			}
+			a.pending <- struct{}{}
+			a.hand(c)
+			continue
+		case errors.Is(err, net.ErrClosed):
+			return
+		case !lacks(err): // it went away while it waited, or a signal came
+			continue
+		}
+		a.failed.Add(1)
+		if time.Since(a.said) > time.Second {
+			a.said = time.Now()
+			slog.Info("accept_waits", "err", err, "times", a.failed.Load())
+		}
+		if c := a.bySpare(err); c != nil {
+			politely(c, hearFor)
+		}
+		time.Sleep(wait)
+		wait = min(2*wait, backOffMost)
+	}
+}
+
+// learnEvery is how often, in seconds, the system is asked what was spent: a call of a microsecond.
+const learnEvery = 0.05
+
+// learn sets the pace by what arrivals cost, on the loop.
+func (a *acceptor) learn(now float64) {
+	if now < a.learnt+learnEvery {
+		return
+	}
+	a.learnt = now
+	var used unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &used); err == nil {
+		a.server.door.Spent(float64(used.Utime.Nano()+used.Stime.Nano())/1e9, now)
+	}
+	a.pace.Store(math.Float64bits(a.server.door.Pace(now)))
+	if known, changed := a.server.door.Regulars(); changed {
+		a.regulars.Store(&regulars{a.server.door.Named, known})
+	}
+}
+
+// lacks tells whether an accept failed for want of something that may come back.
+func lacks(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *acceptor) takeSpare() {
+	if a.spare == nil {
+		a.spare, _ = os.Open(os.DevNull) // none to be had: the next accept that succeeds tries again
+	}
+}
+
+// bySpare accepts with the spare descriptor, where that is what lacks: who waits for longest would else wait for ever, and the
+// listener would be ready at every look.
+func (a *acceptor) bySpare(err error) *net.TCPConn {
+	if a.spare == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+		a.takeSpare()
+		return nil
+	}
+	_ = a.spare.Close()
+	a.spare = nil
+	_ = a.listener.SetDeadline(time.Now().Add(time.Millisecond))
+	c, err := a.accept()
+	_ = a.listener.SetDeadline(time.Time{})
+	if err != nil {
+		a.takeSpare()
+		return nil
+	}
+	return c
+}
+
+// politely answers the first message of a connection that can't be let in, if it is there or comes in so long, and closes it. A
+// task is rejected: it never ran.
+func politely(c *net.TCPConn, wait time.Duration) {
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(max(wait, time.Microsecond)))
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	var held [4 << 10]byte
+	for b := held[:0]; len(b) < cap(b); {
+		n, got := 0, error(nil)
+		err := raw.Read(func(fd uintptr) bool {
+			n, got = unix.Read(int(fd), b[len(b):cap(b)])
+			return wait == 0 || !errors.Is(got, unix.EAGAIN)
+		})
+		if err != nil || got != nil || n <= 0 {
+			return
+		}
+		b = b[:len(b)+n]
+		m, size, err := rpc.Next(b)
+		switch {
+		case err != nil:
+			return
+		case size == 0:
+			continue
+		case m.Kind == rpc.Task: // it goes unheard at worst
+			_ = c.SetDeadline(time.Now().Add(hearFor))
+			_, _ = c.Write(rpc.PutRejected(nil, m.Number, rpc.Say{}))
+		case m.Kind == rpc.Check:
+			_ = c.SetDeadline(time.Now().Add(hearFor))
+			_, _ = c.Write(rpc.PutWell(nil, m.Number, true, rpc.Say{}))
+		}
+		return
+	}
+}
+
+// hand gives a connection to the loop, where OnOpen meets it.
+func (a *acceptor) hand(c *net.TCPConn) {
+	a.takeSpare()
+	done, err := a.server.loop.Enroll(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), a), c)
+	if err != nil {
+		_ = c.Close()
+		<-a.pending
+		return
+	}
+	go func() {
+		if r := <-done; r.Err != nil { // it never came to OnOpen
+			<-a.pending
+		}
+	}()
+}
+
+// close ends accepting. What waits to be accepted is closed by the system, as at every end of a listener.
+func (a *acceptor) close() {
+	_ = a.listener.Close()
+	if a.spare != nil {
+		_ = a.spare.Close()
+	}
+}
--- a/internal/serve/actions.go
+++ b/internal/serve/actions.go
@@ -1,7 +1,7 @@
 package serve
 
 import (
-	"log"
+	"log/slog"
 
 	"swiftcourse/choice"
 	"swiftcourse/internal/memory"
@@ -34,7 +34,7 @@
 			s.timers.Add(now+a.For, func() { s.happens(choice.Event{Kind: choice.Timer, Label: label}) })
 			continue
 		case choice.Note:
-			log.Printf("event=note text=%q", a.Label)
+			slog.Info("note", "text", a.Label)
 			continue
 		}
 		t := s.tasks.Get(a.ID)
@@ -92,7 +92,7 @@
 
 func (s *Server) setWell(well bool) {
 	if s.well != well {
-		log.Printf("event=health well=%t", well)
+		slog.Info("health", "well", well)
 	}
 	s.well = well
 	s.roster.tell()
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -2,13 +2,14 @@
 
 import (
 	"errors"
-	"log"
+	"log/slog"
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/choice"
 	"swiftcourse/internal/memory"
+	"swiftcourse/internal/watch"
 	"swiftcourse/internal/wire/catalogue"
 )
 
@@ -214,8 +215,8 @@
 	now := s.now()
 	if now > s.lanes.lost+1 { // one line a second, however many are tried
 		s.lanes.lost = now
-		log.Printf("event=link_lost link=catalogue rested_s=%.3f after_s=%.3f err=%q", l.rested, now-c.began,
-			&attemptError{c.reach, err})
+		slog.Info("link_lost", "link", "catalogue", "rested_s", watch.Round(l.rested, 3),
+			"after_s", watch.Round(now-c.began, 3), "err", &attemptError{c.reach, err})
 	}
 	c.lane = nil
 	// A lane that had been idle and breaks before its reply was most likely forgotten on the other side. Only calls
--- a/internal/serve/idle_bench_test.go
+++ b/internal/serve/idle_bench_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"io"
-	"log"
+
 	"net"
 	"runtime"
 	"strings"
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/internal/life"
+	"swiftcourse/internal/watch"
 	"swiftcourse/internal/wire/rpc"
 )
 
@@ -23,7 +24,7 @@
 	if runtime.MemProfileRate != 1 {
 		b.Skip("it needs -memprofilerate 1")
 	}
-	log.SetOutput(io.Discard)
+	watch.To(io.Discard)
 	const n = 4000
 	front, err := net.Listen("tcp", "127.0.0.9:0")
 	if err != nil {
@@ -31,7 +32,7 @@
 	}
 	addr := front.Addr().String()
 	front.Close()
-	s := New(&life.Start{Listen: addr, Sockets: 3 * n, Stop: 4, Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}})
+	s := New(&life.Start{Listen: addr, Sockets: 3 * n, Stop: 4, Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}}, nil)
 	s.door.Idle(1e9)
 	done := make(chan error, 1)
 	go func() { done <- s.Run() }()
--- a/internal/serve/idle_test.go
+++ b/internal/serve/idle_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
+
 	"math"
 	"testing"
 	"time"
@@ -16,6 +16,7 @@
 	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/standin/balancer"
+	"swiftcourse/internal/watch"
 	"swiftcourse/internal/wire/rpc"
 )
 
@@ -56,7 +57,7 @@
 
 // alone is a server without a loop, whose turns the test takes.
 func alone(idle float64) *Server {
-	s := New(&life.Start{Sockets: 1000, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}, Site: choice.Site{Idle: idle}})
+	s := New(&life.Start{Sockets: 1000, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}, Site: choice.Site{Idle: idle}}, nil)
 	s.loop, s.module = stillLoop{}, choice.New(1, choice.Site{})
 	s.alarm = time.AfterFunc(time.Hour, func() {})
 	return s
@@ -99,7 +100,7 @@
 func (c *socket) Close() error             { c.closed = true; return nil }
 
 func TestAConnectionThatWakesWhileItIsClosedHasItsAnswer(t *testing.T) {
-	log.SetOutput(io.Discard)
+	watch.To(io.Discard)
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -148,7 +149,7 @@
 }
 
 func TestHalfAMessageAndADaysSilence(t *testing.T) {
-	log.SetOutput(io.Discard)
+	watch.To(io.Discard)
 	for _, spoke := range []bool{false, true} {
 		s := alone(1e9)
 		name, p := s.peers.Add()
@@ -255,7 +256,7 @@
 		becauseOf string
 	}{{512, 64 << 20, 352, "descriptors"}, {384, 48 << 20, 256, "descriptors"}, {20000, 192 << 20, 19712, "descriptors"},
 		{20000, 48 << 20, 48 << 20 / 4 / idleCost, "memory"}} {
-		s := New(&life.Start{Sockets: c.sockets, Memory: c.memory})
+		s := New(&life.Start{Sockets: c.sockets, Memory: c.memory}, nil)
 		if most, by := s.mostPeers(); most != c.want || by != c.becauseOf {
 			t.Errorf("%d descriptors, %d bytes: %d by %s", c.sockets, c.memory, most, by)
 		}
--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"os"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/choice"
+	"swiftcourse/internal/watch"
 )
 
 // Leave tells the server, from any goroutine, that it will be killed after its stop time.
@@ -16,7 +17,7 @@
 	select {
 	case <-s.looping:
 	default: // not a single connection yet, so nothing to answer
-		log.Printf("event=exit cause=never_connected")
+		slog.Info("exit", "cause", "never_connected")
 		os.Exit(0)
 	}
 	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
@@ -27,11 +28,11 @@
 
 func (s *Server) leave(at float64) {
 	if s.draining() {
-		log.Printf("event=notice again=true")
+		slog.Info("notice", "again", true)
 		return
 	}
 	s.drainAt, s.killAt = at, at+s.start.Stop
-	log.Printf("event=notice kill_in_s=%.3f open=%d", s.killAt-s.now(), s.tasks.Open())
+	slog.Info("notice", "kill_in_s", watch.Round(s.killAt-s.now(), 3), "open", s.tasks.Open())
 	s.happens(choice.Event{Kind: choice.Drain, Took: s.killAt - s.now()})
 	s.tryExit()
 }
@@ -59,7 +60,7 @@
 		}
 		if !s.parting {
 			s.parting = true
-			log.Printf("event=parting conns=%d kill_in_s=%.3f", s.peers.Len(), s.killAt-now)
+			slog.Info("parting", "conns", s.peers.Len(), "kill_in_s", watch.Round(s.killAt-now, 3))
 			s.door.LeaveAll()
 		}
 	}
@@ -73,6 +74,13 @@
 
 func (s *Server) exit(cause string) {
 	s.flush()
-	log.Printf("event=exit cause=%s open=%d conns=%d", cause, s.tasks.Open(), s.peers.Len())
+	slog.Info("exit", "cause", cause, "open", s.tasks.Open(), "conns", s.peers.Len())
+	if s.acceptor != nil {
+		s.over()
+		return
+	}
 	go func() { _ = s.engine.Stop(context.Background()) }()
 }
+
+// over ends runGuarded.
+func (s *Server) over() { s.once.Do(func() { close(s.finished) }) }
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"slices"
 	"time"
@@ -155,7 +155,7 @@
 				return
 			}
 			if n == 5 { // the first few pass while the other side starts
-				log.Printf("event=link_waits addr=%s err=%q", addr, err)
+				slog.Info("link_waits", "addr", addr, "err", err)
 			}
 		}
 	}()
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"iter"
+	"log/slog"
 	"math"
 	"slices"
 	"strconv"
@@ -24,6 +25,7 @@
 	server *Server
 	name   memory.Name    // in the table of peers; its slot is its name at the door
 	open   []*memory.Task // from spareOpen, nil where none is
+	advice float64        // when to come back, in seconds, where it was not let in
 }
 
 const (
@@ -54,6 +56,9 @@
 func (p *peer) opened(c gnet.Conn, _ string) error {
 	s := p.server
 	p.conn = c
+	if s.door.Guarded() {
+		return p.arrived()
+	}
 	s.door.Open(p.name.Slot(), s.now())
 	if most, _ := s.mostPeers(); s.peers.Len() <= most {
 		return nil
@@ -70,8 +75,13 @@
 // leastWanted is the connection that goes when a newcomer needs its place: the first at the door that has nothing to write or to
 // be read.
 func (s *Server) leastWanted(newcomer *peer) *peer {
+	return s.firstFree(s.door.Spare(s.now()), newcomer)
+}
+
+// firstFree is the first of those named that has nothing to write or to be read, nil where there is none.
+func (s *Server) firstFree(slots iter.Seq[int32], newcomer *peer) *peer {
 	tried := 0
-	for slot := range s.door.Spare(s.now()) {
+	for slot := range slots {
 		p := s.peers.At(slot)
 		if tried == mostTried {
 			break
@@ -202,11 +212,14 @@
 		s.scratch = rpc.PutRejected(s.scratch[:0], m.Number, s.say)
 		s.write(&p.line, s.scratch)
 		return nil
+	case !s.door.MayOwe(p.name.Slot()):
+		p.turnAway(m.Number, now)
+		return nil
 	}
 	if bad != nil {
 		s.counts.invalid++
 		if s.mayComplain() {
-			log.Printf("event=bad_task peer=%s err=%q", p.conn.RemoteAddr(), bad)
+			slog.Info("bad_task", "peer", p.conn.RemoteAddr(), "err", bad)
 		}
 		s.door.Tell(p.name.Slot(), door.Heard, now)
 		s.scratch = rpc.PutInvalid(s.scratch[:0], m.Number, s.say)
@@ -265,6 +278,9 @@
 }
 
 func (s *Server) finish(t *memory.Task, result []byte) {
+	if p := s.peers.Get(t.Peer); p != nil && !t.Answered {
+		s.door.Finished(p.name.Slot(), s.now())
+	}
 	s.answer(t, &s.counts.finished, func(b []byte, id uint64) []byte { return rpc.PutResult(b, id, result, s.say) })
 }
 
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"errors"
-	"log"
+	"log/slog"
 	"math"
 	"strconv"
 
@@ -11,6 +11,7 @@
 
 	"swiftcourse/choice"
 	"swiftcourse/internal/memory"
+	"swiftcourse/internal/watch"
 	"swiftcourse/internal/wire/processor"
 	"swiftcourse/internal/wire/shale"
 )
@@ -32,13 +33,13 @@
 
 func (l *processorLink) opened(c gnet.Conn, to string) error {
 	l.stands(c, to)
-	log.Printf("event=link_open link=processor notice=%d", l.noticed)
+	slog.Info("link_open", "link", "processor", "notice", l.noticed)
 	l.put(processor.PutResume(nil, l.noticed))
 	return nil
 }
 
 func (l *processorLink) closed(err error) {
-	log.Printf("event=link_lost link=processor err=%q", &attemptError{sent, err})
+	slog.Info("link_lost", "link", "processor", "err", &attemptError{sent, err})
 	l.shut(&l.server.pool)
 	l.up, l.fence = false, ""
 	l.server.gaugesAt = math.Inf(-1)
@@ -103,10 +104,10 @@
 	case processor.Measured:
 		l.measured(n)
 	case processor.Remark:
-		log.Printf("event=remark text=%q", n.Word)
+		slog.Info("remark", "text", n.Word)
 	case processor.Rejection:
 		if s.counts.unrun++; s.mayComplain() { // tasks that no balancer sent make these by hundreds
-			log.Printf("event=command_rejected command=%s call=%s", n.Word, n.ID)
+			slog.Info("command_rejected", "command", n.Word, "call", n.ID)
 		}
 		if t != nil && t.Begun && t.Asked == 0 { // only its begin can be meant: it never ran
 			s.ended(t, choice.NeverStarted, 0)
@@ -141,7 +142,7 @@
 	switch {
 	case n.Tag == l.fence && l.fence != "":
 		l.fence, l.up = "", true
-		log.Printf("event=link_up link=processor notice=%d", l.noticed)
+		slog.Info("link_up", "link", "processor", "notice", l.noticed)
 		l.repeat()
 	case l.up:
 		if read, err := strconv.Atoi(n.Tag); err == nil {
@@ -223,7 +224,7 @@
 func (s *Server) born(cold bool, ago float64) {
 	site := s.start.Site
 	site.ColdFor = 0
-	log.Printf("event=born cold=%t ago_s=%.3f", cold, ago)
+	slog.Info("born", "cold", cold, "ago_s", watch.Round(ago, 3))
 	at := s.now()
 	if cold { // a warm one's age tells nothing
 		site.ColdFor = s.start.ColdFor
--- a/internal/serve/roster.go
+++ b/internal/serve/roster.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"log"
+	"log/slog"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -29,13 +29,13 @@
 func (r *rosterLink) opened(c gnet.Conn, to string) error {
 	r.stands(c, to)
 	r.waits = false
-	log.Printf("event=link_open link=roster")
+	slog.Info("link_open", "link", "roster")
 	r.tell()
 	return nil
 }
 
 func (r *rosterLink) closed(err error) {
-	log.Printf("event=link_lost link=roster err=%q", &attemptError{sent, err})
+	slog.Info("link_lost", "link", "roster", "err", &attemptError{sent, err})
 	r.shut(&r.server.pool)
 	if r.waits {
 		r.toldAt = 0 // that report may be lost: it is sent again on the next link
@@ -92,7 +92,7 @@
 		n += size
 		r.waits, r.vain = false, 0
 		if a.Status != 204 {
-			log.Printf("event=roster_says status=%d", a.Status)
+			slog.Info("roster_says", "status", a.Status)
 		}
 		if a.Close {
 			_ = r.conn.Close()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -6,12 +6,13 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/memory"
+	"swiftcourse/internal/watch"
 	"swiftcourse/internal/wire/rpc"
 )
 
@@ -34,7 +36,8 @@
 	unix   float64
 
 	engine  gnet.Engine
-	ticked  bool // by gnet's ticker, which alone looks at it
+	first   register // hands the first link to the loop
+	ticked  bool     // by gnet's ticker, which alone looks at it
 	loop    gnet.EventLoop
 	looping chan struct{} // closed once loop is set
 	alarm   *time.Timer
@@ -55,9 +58,13 @@
 
 	peers     memory.Table[peer]
 	door      *door.Door
+	lobby     int // places in it, as the operator's file says
 	spareOpen memory.Shelf
-	lagging   []*line // balancers' that may have left something unread
-	sweeping  func()  // sweep and count, made once for all their timers
+	acceptor  *acceptor     // where the door is guarded
+	finished  chan struct{} // closed at the end, for the acceptor
+	once      sync.Once     // for that
+	lagging   []*line       // balancers' that may have left something unread
+	sweeping  func()        // sweep and count, made once for all their timers
 	counting  func()
 	processor *processorLink
 	lanes     lanes
@@ -76,6 +83,7 @@
 type counts struct {
 	read, finished, rejected, abandoned, gone, invalid, calls, turns int
 	malformed, unrun                                                 int // connections closed for their bytes; commands not carried out
+	turned                                                           int // tasks rejected at the door
 	evicted, unspoken, parted                                        int // connections closed for another's sake, or as they brought nothing; asked to close
 
 	unread, longest float64 // seconds that tasks waited unread, in all and at most
@@ -84,14 +92,15 @@
 	turn            float64 // seconds that a turn took, at most
 }
 
-// New makes a server that has not started yet.
-func New(start *life.Start) *Server {
+// New makes a server that has not started yet; conf is the operator's file.
+func New(start *life.Start, conf *life.Conf) *Server {
 	now := time.Now()
 	s := &Server{start: start, anchor: now, unix: float64(now.UnixMicro()) / 1e6, looping: make(chan struct{}),
 		alarmAt: math.Inf(1), tasks: memory.NewTasks(), kept: memory.NewKept(),
-		calls: map[string]*call{}, door: door.New(start.Site.Idle),
+		calls: map[string]*call{}, finished: make(chan struct{}),
 		drainAt: math.Inf(1), killAt: math.Inf(1),
 		gauges: noGauges(), gaugesAt: math.Inf(-1)}
+	s.door = s.newDoor(conf)
 	s.book.Store(newBook(start.Addresses))
 	s.run = gnet.RunnableFunc(func(context.Context) error { return s.turn() })
 	s.sweeping, s.counting = s.sweep, s.count
@@ -103,6 +112,9 @@
 
 // Run serves until the server is told to leave and has answered all.
 func (s *Server) Run() error {
+	if s.door.Guarded() {
+		return s.runGuarded()
+	}
 	return gnet.Run(s, "tcp://"+s.start.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithTicker(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{}), gnet.WithLogLevel(logging.WarnLevel))
 }
@@ -113,7 +125,10 @@
 // OnBoot keeps the engine, which is needed to hand connections to the loop.
 func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
 	s.engine = engine
-	log.Printf("event=listening addr=%s", s.start.Listen)
+	if s.first == nil {
+		s.first = engine.Register
+	}
+	slog.Info("listening", "addr", s.start.Listen)
 	return gnet.None
 }
 
@@ -122,7 +137,7 @@
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	if !s.ticked {
 		s.ticked = true
-		s.dialBy(s.engine.Register, toProcessor, s.processor, 0)
+		s.dialBy(s.first, toProcessor, s.processor, 0)
 	}
 	return time.Hour, gnet.None
 }
@@ -155,6 +170,9 @@
 		}
 		p, to = d.party, d.to
 	} else {
+		if a, byUs := c.Context().(*acceptor); byUs {
+			<-a.pending
+		}
 		name, fresh := s.peers.Add()
 		fresh.server, fresh.name = s, name
 		p = fresh
@@ -162,7 +180,7 @@
 	}
 	if err := p.opened(c, to); err != nil {
 		if s.mayComplain() {
-			log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), err)
+			slog.Info("closing", "peer", c.RemoteAddr(), "err", err)
 		}
 		return nil, gnet.Close
 	}
@@ -187,7 +205,7 @@
 	if err != nil {
 		s.counts.malformed++
 		if s.mayComplain() {
-			log.Printf("event=bad_input peer=%s err=%q", c.RemoteAddr(), err)
+			slog.Info("bad_input", "peer", c.RemoteAddr(), "err", err)
 		}
 		return gnet.Close
 	}
@@ -206,7 +224,7 @@
 // guard stops a panic at the connection whose handling raised it.
 func (s *Server) guard(c gnet.Conn, action *gnet.Action) {
 	if p := recover(); p != nil {
-		log.Printf("event=panic peer=%s cause=%q stack=%q", c.RemoteAddr(), fmt.Sprint(p), debug.Stack())
+		slog.Info("panic", "peer", c.RemoteAddr(), "cause", fmt.Sprint(p), "stack", debug.Stack())
 		*action = gnet.Close
 	}
 }
@@ -250,6 +268,9 @@
 		next = now
 	}
 	s.counts.turn = max(s.counts.turn, s.now()-now)
+	if s.acceptor != nil {
+		s.acceptor.learn(now)
+	}
 	if next < s.alarmAt {
 		s.alarmAt = next
 		s.alarm.Reset(time.Duration((next - s.now()) * float64(time.Second)))
@@ -350,7 +371,7 @@
 			}
 			_, err := c.Writev(l.out.Parts())
 			if left := c.OutboundBuffered(); err == nil && left > most {
-				log.Printf("event=closing peer=%s err=%q", c.RemoteAddr(), "it does not read")
+				slog.Info("closing", "peer", c.RemoteAddr(), "err", "it does not read")
 				_ = c.Close()
 			} else if err == nil && left > 0 && !l.ours && !l.lags {
 				l.lags = true
@@ -386,16 +407,19 @@
 func (s *Server) tell() {
 	c := &s.counts
 	most, by := s.mostPeers()
-	log.Printf("event=counts read=%d finished=%d rejected=%d abandoned=%d gone=%d invalid=%d malformed=%d "+
-		"unrun=%d calls=%d turns=%d turn_ms=%.2f unread_ms=%.1f longest_ms=%.1f open=%d tasks=%d kept=%d "+
-		"conns=%d strangers=%d parting=%d most_conns=%d most_by=%s lanes=%d parted=%d evicted=%d unspoken=%d "+
-		"gauge_ms=%.1f blind=%d timers=%d buffers=%d memory_kb=%d heap_kb=%d well=%t load=%s",
-		c.read, c.finished, c.rejected, c.abandoned, c.gone, c.invalid, c.malformed,
-		c.unrun, c.calls, c.turns, 1000*c.turn, 1000*c.unread/max(1, float64(c.read)), 1000*c.longest, s.tasks.Open(),
-		s.tasks.Len(), s.kept.Len(),
-		s.peers.Len(), s.door.Count(door.Stranger), s.door.Count(door.Parting), most, by, len(s.lanes.all), c.parted,
-		c.evicted, c.unspoken,
-		1000*c.gaugeAge, c.blind, s.timers.Len(), s.pool.Out, residentKB(), liveKB(), s.well, s.say.Free)
+	slog.Info("counts", "read", c.read, "finished", c.finished, "rejected", c.rejected,
+		"abandoned", c.abandoned, "gone", c.gone, "invalid", c.invalid, "malformed", c.malformed, "unrun", c.unrun,
+		"calls", c.calls, "turns", c.turns, "turn_ms", watch.Round(1000*c.turn, 2),
+		"unread_ms", watch.Round(1000*c.unread/max(1, float64(c.read)), 1),
+		"longest_ms", watch.Round(1000*c.longest, 1), "open", s.tasks.Open(), "tasks", s.tasks.Len(),
+		"kept", s.kept.Len(), "conns", s.peers.Len(), "strangers", s.door.Count(door.Stranger),
+		"parting", s.door.Count(door.Parting), "most_conns", most, "most_by", by, "lanes", len(s.lanes.all),
+		"parted", c.parted, "evicted", c.evicted, "unspoken", c.unspoken,
+		"gauge_ms", watch.Round(1000*c.gaugeAge, 1), "blind", c.blind, "timers", s.timers.Len(),
+		"buffers", s.pool.Out, "memory_kb", residentKB(), "heap_kb", liveKB(), "well", s.well, "load", s.say.Free)
+	if s.door.Guarded() {
+		s.tellDoor()
+	}
 	*c = counts{}
 }
 
@@ -433,11 +457,11 @@
 func (logger) Debugf(string, ...any) {}
 func (logger) Infof(string, ...any)  {}
 func (logger) Warnf(f string, a ...any) {
-	log.Printf("event=library level=warn text=%q", fmt.Sprintf(f, a...))
+	slog.Info("library", "level", "warn", "text", fmt.Sprintf(f, a...))
 }
 func (logger) Errorf(f string, a ...any) {
-	log.Printf("event=library level=error text=%q", fmt.Sprintf(f, a...))
+	slog.Info("library", "level", "error", "text", fmt.Sprintf(f, a...))
 }
 func (logger) Fatalf(f string, a ...any) {
-	log.Fatalf("event=library level=fatal text=%q", fmt.Sprintf(f, a...))
+	watch.Fatal("library", "level", "fatal", "text", fmt.Sprintf(f, a...))
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -8,7 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+
 	"net"
 	"strings"
 	"testing"
@@ -22,6 +22,7 @@
 	"swiftcourse/internal/memory"
 	"swiftcourse/internal/standin/catalogue"
 	"swiftcourse/internal/standin/roster"
+	"swiftcourse/internal/watch"
 	wirecatalogue "swiftcourse/internal/wire/catalogue"
 	"swiftcourse/internal/wire/processor"
 	"swiftcourse/internal/wire/rpc"
@@ -124,8 +125,11 @@
 }
 
 // build starts a server; change alters what it is told.
-func build(t *testing.T, change func(*life.Start)) *world {
-	log.SetOutput(t.Output())
+func build(t *testing.T, change func(*life.Start)) *world { return buildWith(t, change, nil) }
+
+// buildWith is build with an operator's file.
+func buildWith(t *testing.T, change func(*life.Start), conf *life.Conf) *world {
+	watch.To(t.Output())
 	w := &world{T: t, ended: make(chan error, 1), processors: listen(t), catalogues: listen(t), roster: aRoster(t)}
 	front := listen(t)
 	addr := front.Addr().String()
@@ -140,7 +144,7 @@
 	if change != nil {
 		change(start)
 	}
-	w.server = New(start)
+	w.server = New(start, conf)
 	go func() { w.ended <- w.server.Run() }()
 	w.processor = accept(t, w.processors)
 	if hello := w.processor.command(false); hello["msg"] != "hello" || hello["serial"] != 0.0 {
@@ -148,9 +152,13 @@
 	}
 	w.processor.send(`{"msg":"hi","how":"seasoned","duration":3600000}` + "\n")
 	t.Cleanup(func() {
-		_ = w.server.engine.Stop(context.Background())
+		if w.server.acceptor != nil {
+			w.server.over()
+		} else {
+			_ = w.server.engine.Stop(context.Background())
+		}
 		<-w.ended
-		log.SetOutput(io.Discard)
+		watch.To(io.Discard)
 	})
 	if report := <-w.roster.Reports(); !report.Takes {
 		t.Fatalf("first report %+v", report)
@@ -485,7 +493,7 @@
 }
 
 func TestADialGoesToTheAddressOfTheMoment(t *testing.T) {
-	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1"}}) // where nothing listens
+	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1"}}, nil) // where nothing listens
 	to := make(chan string, 1)
 	s.dialBy(func(ctx context.Context) (<-chan gnet.RegisteredResult, error) {
 		c, _ := gnet.FromNetConnContext(ctx)
@@ -588,7 +596,7 @@
 }
 
 func TestWhoIsOwedSomethingDoesNotGoForANewcomer(t *testing.T) {
-	s := New(&life.Start{Site: choice.Site{Idle: 30}})
+	s := New(&life.Start{Site: choice.Site{Idle: 30}}, nil)
 	add := func(unsent bool) *peer {
 		name, p := s.peers.Add()
 		p.server, p.name, p.conn, p.unsent = s, name, broken{}, unsent
@@ -619,7 +627,7 @@
 func (*sending) Discard(int) (int, error)   { return 0, nil }
 
 func TestNothingIsReadFromAConnectionThatEnds(t *testing.T) {
-	s := New(&life.Start{Sockets: 256, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}})
+	s := New(&life.Start{Sockets: 256, Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}}, nil)
 	s.loop, s.module = stillLoop{}, choice.New(1, choice.Site{})
 	for _, ends := range []bool{false, true} {
 		name, p := s.peers.Add()
@@ -686,7 +694,7 @@
 }
 
 func TestALinkOfOursMayLeaveMoreUnread(t *testing.T) {
-	s := New(&life.Start{})
+	s := New(&life.Start{}, nil)
 	s.loop = stillLoop{}
 	for _, to := range []string{"", "127.0.0.9:1"} {
 		c := &unread{}
@@ -722,15 +730,15 @@
 func (broken) closed(error)                   {}
 
 func TestAPanicStopsAtItsConnection(t *testing.T) {
-	log.SetOutput(t.Output())
-	defer log.SetOutput(io.Discard)
-	if action := New(&life.Start{}).OnTraffic(broken{}); action != gnet.Close {
+	watch.To(t.Output())
+	defer watch.To(io.Discard)
+	if action := New(&life.Start{}, nil).OnTraffic(broken{}); action != gnet.Close {
 		t.Errorf("action %v", action)
 	}
 }
 
 func TestAgeAndWaitAreThoseOfTheBatch(t *testing.T) {
-	s := New(&life.Start{})
+	s := New(&life.Start{}, nil)
 	now := s.now()
 	s.tasks.Add(&memory.Task{ID: "a", Came: now - 2, Wait: 5})
 	s.tasks.Add(&memory.Task{ID: "b", Came: now + 1}) // by a clock ahead of ours; its wait is not told
@@ -743,7 +751,7 @@
 }
 
 func TestAnOldReadingOfTheGaugesIsNone(t *testing.T) {
-	s := New(&life.Start{Gauges: []string{"runnable"}})
+	s := New(&life.Start{Gauges: []string{"runnable"}}, nil)
 	s.processor.measured(&processor.Notice{Gauges: []float64{3}})
 	for after, want := range map[float64]float64{0.01: 3, 2: -1} {
 		e := choice.Event{Kind: choice.Timer}
@@ -754,7 +762,7 @@
 }
 
 func TestASecondNoticeChangesNothing(t *testing.T) {
-	s := New(&life.Start{Stop: 5})
+	s := New(&life.Start{Stop: 5}, nil)
 	s.leave(s.now())
 	killAt := s.killAt
 	s.leave(s.now() + 1)
@@ -764,8 +772,8 @@
 }
 
 func TestHealthIsReportedAtOnceAndOneReportAtATime(t *testing.T) {
-	log.SetOutput(io.Discard)
-	s := New(&life.Start{Addresses: life.Addresses{Roster: "127.0.0.9:1"}})
+	watch.To(io.Discard)
+	s := New(&life.Start{Addresses: life.Addresses{Roster: "127.0.0.9:1"}}, nil)
 	s.loop = stillLoop{}
 	s.module = choice.New(1, choice.Site{})
 	s.roster.conn = broken{}
@@ -796,8 +804,8 @@
 }
 
 func TestWhatWasUnsentDoesNotReachTheNextLink(t *testing.T) {
-	log.SetOutput(io.Discard)
-	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}})
+	watch.To(io.Discard)
+	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1", Roster: "127.0.0.9:1"}}, nil)
 	s.loop = stillLoop{}
 	s.processor.conn, s.roster.conn = broken{}, broken{}
 	s.write(&s.processor.line, []byte("old"))
