swiftlab door: known clients while strangers take every descriptor; cheap refusals

Need: the door has to show what it does. The experiment starts the real server with few descriptors, lets strangers come at a rate, and reports how long known ones took, what failed, and what it cost, with the door off and on.

--- a/cmd/swiftlab/main.go
+++ b/cmd/swiftlab/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"swiftcourse/internal/lab/demo"
+	"swiftcourse/internal/lab/entry"
 	"swiftcourse/internal/lab/fleet"
 	"swiftcourse/internal/lab/idle"
 	"swiftcourse/internal/lab/report"
@@ -22,6 +23,7 @@
 type program struct {
 	Demo demoCommand `cmd:"" help:"The real server at work: calm, then overloaded."`
 	Idle idleCommand `cmd:"" help:"What idle connections cost, and what the busy ones feel of them."`
+	Door doorCommand `cmd:"" help:"How known clients fare while strangers take every descriptor, with the door off and on."`
 	Hold holdCommand `cmd:"" hidden:""`
 }
 
@@ -45,6 +47,34 @@
 	return print(c.JSON, demo.Heads, rows, err)
 }
 
+type doorCommand struct {
+	Server    string  `help:"The server's program." default:"bin/swiftcourse" type:"path"`
+	Strangers float64 `help:"Strangers a second; each does a health check and stays." default:"5000"`
+	Known     int     `help:"Clients that did tasks before they came." default:"20"`
+	Seconds   float64 `help:"How long the strangers come." default:"10"`
+	Sockets   int     `help:"Descriptors that the server is told." default:"128"`
+	Real      int     `help:"Descriptors that it really has, where that differs from the start on; 0 where not." default:"0"`
+	Core      int     `help:"The server's core; -1 for any." default:"1"`
+	Log       bool    `help:"Show the server's log too."`
+	JSON      string  `name:"json" help:"File for the rows, as an array." type:"path"`
+}
+
+func (c *doorCommand) Run(ctx context.Context) error {
+	plan := &entry.Plan{Program: c.Server, Strangers: c.Strangers, Known: c.Known, Seconds: c.Seconds, Sockets: c.Sockets, Real: c.Real,
+		Core: c.Core, Say: os.Stderr}
+	if c.Log {
+		plan.Log = os.Stderr
+	}
+	if err := plan.Check(); err != nil {
+		return err
+	}
+	if err := fleet.KeepOff(c.Core); err != nil {
+		return err
+	}
+	rows, err := entry.Run(ctx, plan)
+	return print(c.JSON, entry.Heads, rows, err)
+}
+
 type idleCommand struct {
 	Server      string        `help:"The server's program." default:"bin/swiftcourse" type:"path"`
 	Connections []int         `help:"Numbers of idle connections, a row each." default:"0,1000,10000"`
--- a/internal/judge/door/door.go
+++ b/internal/judge/door/door.go
@@ -124,8 +124,8 @@
 	// lobbyFor is how long one that was turned away has for its first message: that follows its connection at once, and a
 	// place in the lobby is a descriptor. What comes later crosses its close.
 	lobbyFor = 0.25
-	// turnedFor leaves the turn in which its answer is written.
-	turnedFor = 0.01
+	// turnedFor leaves the turn in which its answer is written; the next one may close it.
+	turnedFor = 0.0005
 	// mostLobby is mostASlice for the lobby, where each verdict follows an arrival and so is no burst of our own making.
 	mostLobby = 64
 	// mostLeaving is mostASlice for a server that leaves, whose tasks have all been answered.
--- a/internal/judge/door/guard.go
+++ b/internal/judge/door/guard.go
@@ -56,9 +56,9 @@
 	turnedHalf = 5
 	// yieldAfter is how long, in seconds, one must have been silent to go for another whose address would then hold as many.
 	yieldAfter = 0.5
-	// firstCost is what an arrival is taken to cost, in seconds of the core, until arrivals in a row have shown it: more than
-	// on any machine seen, and still hundreds a second.
-	firstCost = 400e-6
+	// firstCost is what an arrival is taken to cost, in seconds of the core, until arrivals in a row have shown it: twice what
+	// was seen on one machine (40 to 60 us).
+	firstCost = 100e-6
 	// costOf is how many arrivals show what one costs: fewer would share what else the core did meanwhile.
 	costOf = 50
 	// costFor and costBuckets are how long the least cost counts.
--- /dev/null
+++ b/internal/lab/entry/entry.go
@@ -0,0 +1,350 @@
+// Package entry measures how known clients fare at a server's door while strangers take every descriptor.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"swiftcourse/internal/lab/fleet"
+	"swiftcourse/internal/standin/processor"
+	"swiftcourse/internal/wire/rpc"
+	"swiftcourse/internal/wire/shale"
+)
+
+// Plan is the experiment.
+type Plan struct {
+	Program   string
+	Strangers float64 // that arrive a second, each from an address of its own, as far as those of loopback go
+	Known     int     // clients that did tasks before the strangers came
+	Seconds   float64
+	Sockets   int // descriptors that the server is told
+	Real      int // and that it really has; 0 for as many
+	Core      int
+	Say       io.Writer
+	Log       io.Writer // the server's, nil for none
+}
+
+// Row is how they fared with the door on, or off.
+type Row struct {
+	Door      string  `json:"door"`
+	Known     int     `json:"known"`
+	Tries     int     `json:"known_tries"`
+	P50       float64 `json:"known_connect_p50_ms"` // from the dial to the answer of the first task
+	Max       float64 `json:"known_connect_max_ms"`
+	Failed    int     `json:"known_failed"` // no answer within a second, or another than finished
+	Lost      int     `json:"open_tasks_lost"`
+	Strangers int     `json:"strangers"`
+	Answered  float64 `json:"strangers_answered_share"` // had an answer, whatever it said
+	Alive     bool    `json:"alive"`
+	CPU       float64 `json:"cpu_share"`
+	Resident  float64 `json:"rss_max_bytes"`
+}
+
+// Heads and Cells are those of the table.
+var Heads = []string{"door", "known", "tries", "p50 ms", "max ms", "failed", "tasks lost", "strangers", "answered", "alive", "cpu", "rss MB"}
+
+// Cells are a row's in the table.
+func (r Row) Cells() []string {
+	return strings.Fields(fmt.Sprintf("%s %d %d %.2f %.1f %d %d %d %.3f %t %.3f %.1f", r.Door, r.Known, r.Tries, r.P50, r.Max, r.Failed, r.Lost, r.Strangers,
+		r.Answered, r.Alive, r.CPU, r.Resident/(1<<20)))
+}
+
+// Check finds numbers that can't be.
+func (p *Plan) Check() error {
+	switch {
+	case p.Strangers < 0 || p.Strangers > 50_000:
+		return fmt.Errorf("--strangers %g: from 0 to 50000 a second", p.Strangers)
+	case p.Known < 1 || p.Known > 200:
+		return fmt.Errorf("--known %d: from 1 to 200", p.Known)
+	case p.Seconds < 2 || p.Seconds > 120:
+		return fmt.Errorf("--seconds %g: from 2 to 120", p.Seconds)
+	case p.Sockets < 64 || p.Sockets > 20_000:
+		return fmt.Errorf("--sockets %d: from 64 to 20000", p.Sockets)
+	case p.Real != 0 && p.Real < 48:
+		return fmt.Errorf("--real %d: 48 at least, or 0", p.Real)
+	}
+	return nil
+}
+
+// Run measures with the door off, and on.
+func Run(ctx context.Context, p *Plan) (rows []Row, err error) {
+	for _, door := range []string{"off", "on"} {
+		row, err := p.row(ctx, door)
+		if err != nil {
+			return rows, fmt.Errorf("with the door %s: %w", door, err)
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+const (
+	// patience is how long a known client waits for its connection and the answer to its first task.
+	patience = time.Second
+	// tasks take so long, in seconds, so that some are open at each moment.
+	work = 0.02
+	// earnFor is how long the known ones do tasks before the strangers come: longer than the three seconds by which being known is earned.
+	earnFor = 4500 * time.Millisecond
+	// strangerStays is for how long a stranger holds its connection after its health check.
+	strangerStays = 2 * time.Second
+	// mostHeld bounds the strangers that hold connections, as this process has descriptors too.
+	mostHeld = 8000
+)
+
+func settings() shale.Told {
+	var t shale.Told
+	t.Servers = 1
+	t.Stages = []shale.Stage{{Name: "ping", Effect: "idempotent", TimeLimitMs: 2000, DueTimeMs: 1000, Utility: 1, LateUtility: 0.5}}
+	t.Caps.Advice, t.Caps.AdviceMaxMs = true, 5000
+	t.Contract.Crowd, t.Contract.CrowdForMs, t.Contract.DrainGraceMs, t.Contract.AnswerSlackMs = 8, 1000, 500, 50
+	own := &t.Own
+	own.Cores, own.MemoryKb, own.RunFactor, own.Callers, own.TellsWait = 4, 1e6, 1, 1, true
+	own.Gauges, own.IdleMs = []string{"cpu_busy", "runnable"}, 60_000
+	return t
+}
+
+func (p *Plan) row(ctx context.Context, door string) (row Row, err error) {
+	servers, err := fleet.Start(ctx, 1, fleet.Shape{Program: p.Program, Core: p.Core, Cores: 1, MemoryMB: 64, Sockets: p.Sockets, Real: p.Real,
+		Stop: 3 * time.Second, Told: settings(), Conf: "door " + door + "\n", Log: p.Log,
+		Work: processor.Plan{Cores: 4, Work: func(string, string) float64 { return work },
+			Gauges: func(busy, _ int) []float64 { return []float64{float64(busy) / 4, float64(busy)} }}})
+	if err != nil {
+		return row, err
+	}
+	defer fleet.End(servers)
+	s := servers[0]
+	row = Row{Door: door, Known: p.Known}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+
+	fmt.Fprintf(p.Say, "door %s: %d clients become known\n", door, p.Known)
+	var clients []*client
+	for i := range p.Known {
+		c := &client{addr: s.Addr, from: net.IPv4(127, 20, byte(i>>8), byte(i%250+1)), number: i}
+		if err := c.dial(ctx); err != nil {
+			return row, err
+		}
+		clients = append(clients, c)
+	}
+	for end := time.Now().Add(earnFor); time.Now().Before(end); {
+		var wait sync.WaitGroup
+		for _, c := range clients {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				_ = c.task(patience) // what is not finished earns nothing
+			}()
+		}
+		wait.Wait()
+		time.Sleep(200 * time.Millisecond)
+	}
+	open := clients[:max(1, len(clients)/4)] // these keep theirs, and always have a task open
+	others := clients[len(open):]
+	for _, c := range others {
+		c.close()
+	}
+
+	fmt.Fprintf(p.Say, "door %s: %g strangers a second for %g s\n", door, p.Strangers, p.Seconds)
+	used, err := s.Used()
+	if err != nil {
+		return row, err
+	}
+	from, end := time.Now(), time.Now().Add(time.Duration(p.Seconds*float64(time.Second)))
+	strangers := &strangers{addr: s.Addr, end: end, slots: make(chan struct{}, mostHeld)}
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		strangers.run(ctx, p.Strangers)
+	}()
+	var lost atomic.Int64
+	for _, c := range open {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for time.Now().Before(end) && ctx.Err() == nil {
+				if c.task(5*time.Second) != nil { // no answer at all
+					lost.Add(1)
+					return
+				}
+			}
+		}()
+	}
+	var mu sync.Mutex
+	var took []float64
+	time.Sleep(500 * time.Millisecond) // until the strangers have all that there is
+	for _, c := range others {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for time.Now().Before(end) && ctx.Err() == nil {
+				began := time.Now()
+				err := c.dial(ctx)
+				if err == nil {
+					err = c.task(patience - time.Since(began))
+				}
+				c.close()
+				mu.Lock()
+				row.Tries++
+				if err != nil {
+					row.Failed++
+				} else {
+					took = append(took, time.Since(began).Seconds()*1000)
+				}
+				mu.Unlock()
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+	}
+	for time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		if resident, err := s.Resident(); err == nil { // a server that is gone has none
+			row.Resident = max(row.Resident, float64(resident))
+		}
+	}
+	after, err := s.Used()
+	if row.Alive = err == nil && s.Alive(); row.Alive {
+		row.CPU = (after - used) / time.Since(from).Seconds()
+	}
+	wait.Wait()
+	stop()
+	slices.Sort(took)
+	if len(took) > 0 {
+		row.P50, row.Max = took[len(took)/2], took[len(took)-1]
+	}
+	row.Lost, row.Strangers = int(lost.Load()), int(strangers.came.Load())
+	row.Answered = math.Round(1000*float64(strangers.answered.Load())/float64(max(1, row.Strangers))) / 1000
+	return row, nil
+}
+
+// client is a known one: an address, and at times a connection.
+type client struct {
+	addr   string
+	from   net.IP
+	number int
+	conn   net.Conn
+	sent   uint64
+	ids    int
+}
+
+func (c *client) dial(ctx context.Context) (err error) {
+	c.sent = 0
+	d := net.Dialer{Timeout: patience, LocalAddr: &net.TCPAddr{IP: c.from}}
+	c.conn, err = d.DialContext(ctx, "tcp", c.addr)
+	return err
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+var errUnfinished = errors.New("answered, and not finished")
+
+// task has one task done. Its error tells that no answer came, or one other than finished.
+func (c *client) task(within time.Duration) error {
+	if c.conn == nil {
+		return net.ErrClosed
+	}
+	c.sent++
+	c.ids++
+	_ = c.conn.SetDeadline(time.Now().Add(within))
+	if _, err := c.conn.Write(rpc.PutTask(nil, &rpc.Message{Number: c.sent, ID: fmt.Sprintf("%04x%012x", c.number, c.ids), Stage: "ping",
+		Came: float64(time.Now().UnixMilli()) / 1000, Wait: within.Seconds(), Caller: c.number, Memory: 1, Rank: 0.5, Body: []byte("x")})); err != nil {
+		return err
+	}
+	a, err := next(c.conn, c.sent)
+	if err == nil && a.End != rpc.Finished {
+		err = errUnfinished
+	}
+	return err
+}
+
+// next reads up to the answer of a message.
+func next(c net.Conn, number uint64) (rpc.Answer, error) {
+	var held [512]byte
+	b := held[:0]
+	for len(b) < cap(b) {
+		n, err := c.Read(b[len(b):cap(b)])
+		if err != nil {
+			return rpc.Answer{}, err
+		}
+		b = b[:len(b)+n]
+		for {
+			a, size, err := rpc.NextAnswer(b)
+			if err != nil {
+				return a, err
+			}
+			if size == 0 {
+				break
+			}
+			if a.Number == number && a.End != rpc.PartSaid {
+				return a, nil
+			}
+			b = append(held[:0], b[size:]...)
+		}
+	}
+	return rpc.Answer{}, errors.New("a message that is too long")
+}
+
+// strangers come at a rate, each to ask for the server's health and to stay.
+type strangers struct {
+	addr           string
+	end            time.Time
+	slots          chan struct{}
+	came, answered atomic.Int64
+}
+
+func (s *strangers) run(ctx context.Context, rate float64) {
+	from := time.Now()
+	var wait sync.WaitGroup
+	for n := 0; time.Now().Before(s.end) && ctx.Err() == nil; {
+		due := int(time.Since(from).Seconds() * rate)
+		for ; n < due; n++ {
+			select {
+			case s.slots <- struct{}{}:
+			default:
+				continue // this process holds all that it may: it came to nothing
+			}
+			ip := net.IPv4(127, byte(30+n>>16&63), byte(n>>8), byte(n%254+1))
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				s.one(ctx, ip)
+				<-s.slots
+			}()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	wait.Wait()
+}
+
+func (s *strangers) one(ctx context.Context, ip net.IP) {
+	s.came.Add(1)
+	d := net.Dialer{Timeout: patience, LocalAddr: &net.TCPAddr{IP: ip}}
+	c, err := d.DialContext(ctx, "tcp", s.addr)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(strangerStays))
+	if _, err := c.Write(rpc.PutCheck(nil, 1)); err != nil {
+		return
+	}
+	if _, err := next(c, 1); err != nil {
+		return
+	}
+	s.answered.Add(1)
+	_, _ = c.Read(make([]byte, 64)) // until it is closed, or its stay is over
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -292,6 +292,16 @@
 	return n
 }
 
+// Alive tells whether the process has not ended.
+func (s *Server) Alive() bool {
+	select {
+	case <-s.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // Resident is its memory in bytes, as the system counts it.
 func (s *Server) Resident() (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.process.Process.Pid))
--- a/internal/life/conf.go
+++ b/internal/life/conf.go
@@ -35,7 +35,7 @@
 	Forget       time.Duration  `key:"door-forget" default:"10m" validate:"gte=1s,lte=24h" right:"a time such as 10m, from 1s to 24h"`
 	ComeBack     time.Duration  `key:"door-come-back" default:"200ms" validate:"gte=1ms,lte=1h" right:"a time such as 200ms, from 1ms to 1h"`
 	ComeBackMost time.Duration  `key:"door-come-back-most" default:"10s" validate:"gtefield=ComeBack,lte=1h" right:"a time from door-come-back to 1h"`
-	Share        Share          `key:"door-share" default:"20%" validate:"gte=0.01,lte=1" right:"a part of a core, from 1% to 100%"`
+	Share        Share          `key:"door-share" default:"10%" validate:"gte=0.01,lte=1" right:"a part of a core, from 1% to 100%"`
 }
 
 // Share is a part of something; it is written as a number of percent.
--- a/internal/life/conf_test.go
+++ b/internal/life/conf_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	if !c.Door || len(c.Known) != 3 || c.Known[1].String() != "10.2.0.1/32" || c.Reserve != 0.125 || c.Forget != 30*time.Second ||
-		c.V4 != 24 || c.ComeBackMost != 10*time.Second || c.Share != 0.2 {
+		c.V4 != 24 || c.ComeBackMost != 10*time.Second || c.Share != 0.1 {
 		t.Errorf("%+v", c)
 	}
 	if c, err := ReadConf(""); err != nil || c.Door {
--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -24,18 +24,28 @@
 // when it fails for want of a descriptor or of memory; this one waits and goes on. Its goroutine decides nothing but when to wait.
 type acceptor struct {
 	server   *Server
-	listener *net.TCPListener
-	accept   func() (*net.TCPConn, error) // the listener's; a test has it fail
-	spare    *os.File                     // a descriptor to give up when there is no other
-	pace     atomic.Uint64                // strangers a second, as the bits of a float64, from the door
-	regulars atomic.Pointer[regulars]     // who goes past that, from the door
-	pending  chan struct{}                // has a place for each connection on its way to the loop
-	failed   atomic.Int64                 // accepts that failed for want of something
-	hurried  atomic.Int64                 // strangers over the pace, closed here
+	listener net.Listener
+	fd       int         // the listener's
+	ending   atomic.Bool // set at the end
+	ended    chan struct{}
+	accept   func() (guest, error)    // acceptOne; a test has it fail
+	spare    *os.File                 // a descriptor to give up when there is no other
+	pace     atomic.Uint64            // strangers a second, as the bits of a float64, from the door
+	regulars atomic.Pointer[regulars] // who goes past that, from the door
+	pending  chan struct{}            // has a place for each connection on its way to the loop
+	failed   atomic.Int64             // accepts that failed for want of something
+	hurried  atomic.Int64             // strangers over the pace, closed here
 	said     time.Time
 	learnt   float64 // when the loop told the door last what was spent
 }
 
+// guest is a connection that was accepted, as its bare descriptor: most of them in a flood are closed again at once, and what the
+// net package makes of each would be half of the cost.
+type guest struct {
+	fd   int
+	from netip.Addr
+}
+
 // regulars are those whom the acceptor lets past the pace.
 type regulars struct {
 	named []netip.Prefix
@@ -59,7 +69,7 @@
 )
 
 // listenAs opens the server's listener. Like gnet's it leaves the address open to a successor.
-func listenAs(addr string) (*net.TCPListener, error) {
+func listenAs(addr string) (*acceptor, error) {
 	config := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		return errors.Join(raw.Control(func(fd uintptr) {
@@ -70,19 +80,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.(*net.TCPListener), nil
+	a := &acceptor{listener: l, ended: make(chan struct{})}
+	a.accept = a.acceptOne
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { a.fd = int(fd) }) // it stays open as long as the listener does
+	}
+	a.takeSpare()
+	return a, err
 }
 
 // runGuarded is Run with an acceptor of our own.
 func (s *Server) runGuarded() error {
-	l, err := listenAs(s.start.Listen)
+	a, err := listenAs(s.start.Listen)
 	if err != nil {
 		return err
 	}
-	a := &acceptor{server: s, listener: l, accept: l.AcceptTCP, pending: make(chan struct{}, s.lobbyPlaces())}
+	a.server, a.pending = s, make(chan struct{}, s.lobbyPlaces())
 	a.pace.Store(math.Float64bits(s.door.Pace(s.now())))
 	a.regulars.Store(&regulars{named: s.door.Named})
-	a.takeSpare()
+	if s.acceptBy != nil {
+		a.accept = s.acceptBy(a.accept)
+	}
 	s.acceptor = a
 	loops, err := gnet.NewClient(s, gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(logger{}), gnet.WithLogLevel(logging.WarnLevel))
@@ -106,10 +125,12 @@
 // run accepts until the listener closes. All is accepted at once, as who is known waits in the same queue of the system as strangers do;
 // strangers over the pace are closed here, which costs a fifth of what it does on the loop.
 func (a *acceptor) run() {
+	defer close(a.ended)
 	<-a.server.looping // the first link to be dialled makes the loop known
+
 	wait, tokens, at := backOff, math.Inf(1), time.Now() // full
 	for {
-		c, err := a.accept()
+		g, err := a.accept()
 		switch {
 		case err == nil:
 			wait = backOff
@@ -117,20 +138,20 @@
 			tokens = min(max(1, pace*paceBurst), tokens+now.Sub(at).Seconds()*pace)
 			at = now
 			switch {
-			case a.regulars.Load().has(addrOf(c.RemoteAddr()).Unmap()):
+			case a.regulars.Load().has(g.from):
 			case tokens >= 1:
 				tokens--
 			default:
 				a.hurried.Add(1)
-				politely(c, 0)
+				politely(g, 0)
 				continue
 			}
 			a.pending <- struct{}{}
-			a.hand(c)
+			a.hand(g)
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return
-		case !lacks(err): // it went away while it waited, or a signal came
+		case errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR): // it went away while it waited; a signal came
 			continue
 		}
 		a.failed.Add(1)
@@ -138,8 +159,8 @@
 			a.said = time.Now()
 			slog.Info("accept_waits", "err", err, "times", a.failed.Load())
 		}
-		if c := a.bySpare(err); c != nil {
-			politely(c, hearFor)
+		if g, ok := a.bySpare(err); ok {
+			politely(g, hearFor)
 		}
 		time.Sleep(wait)
 		wait = min(2*wait, backOffMost)
@@ -165,16 +186,6 @@
 	}
 }
 
-// lacks tells whether an accept failed for want of something that may come back.
-func lacks(err error) bool {
-	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, lack) {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *acceptor) takeSpare() {
 	if a.spare == nil {
 		a.spare, _ = os.Open(os.DevNull) // none to be had: the next accept that succeeds tries again
@@ -183,40 +194,68 @@
 
 // bySpare accepts with the spare descriptor, where that is what lacks: who waits for longest would else wait for ever, and the
 // listener would be ready at every look.
-func (a *acceptor) bySpare(err error) *net.TCPConn {
+func (a *acceptor) bySpare(err error) (guest, bool) {
 	if a.spare == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 		a.takeSpare()
-		return nil
+		return guest{}, false
 	}
 	_ = a.spare.Close()
 	a.spare = nil
-	_ = a.listener.SetDeadline(time.Now().Add(time.Millisecond))
-	c, err := a.accept()
-	_ = a.listener.SetDeadline(time.Time{})
-	if err != nil {
+	g, err := a.acceptNow()
+	if err != nil { // the system says that it lacks descriptors also where nobody waits
 		a.takeSpare()
-		return nil
 	}
-	return c
+	return g, err == nil
 }
 
-// politely answers the first message of a connection that can't be let in, if it is there or comes in so long, and closes it. A
-// task is rejected: it never ran.
-func politely(c *net.TCPConn, wait time.Duration) {
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(max(wait, time.Microsecond)))
-	raw, err := c.SyscallConn()
+// lookEvery is how often one that waits for connections looks whether it is to end, in milliseconds.
+const lookEvery = 100
+
+// acceptOne waits for a connection, on a thread of its own: what is accepted is a bare descriptor, and the listener's own way to
+// wait gives none.
+func (a *acceptor) acceptOne() (guest, error) {
+	for {
+		g, err := a.acceptNow()
+		if err != unix.EAGAIN {
+			return g, err
+		}
+		if a.ending.Load() {
+			return g, net.ErrClosed
+		}
+		_, _ = unix.Poll([]unix.PollFd{{Fd: int32(a.fd), Events: unix.POLLIN}}, lookEvery)
+	}
+}
+
+// acceptNow accepts a connection where one waits.
+func (a *acceptor) acceptNow() (g guest, err error) {
+	fd, from, err := unix.Accept4(a.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	if err != nil {
-		return
+		return g, err
+	}
+	g.fd = fd
+	switch at := from.(type) {
+	case *unix.SockaddrInet4:
+		g.from = netip.AddrFrom4(at.Addr)
+	case *unix.SockaddrInet6:
+		g.from = netip.AddrFrom16(at.Addr).Unmap()
 	}
+	return g, nil
+}
+
+// politely answers the first message of a connection that can't be let in, if it is there or comes in so long, and closes it. A
+// task is rejected: it never ran.
+func politely(g guest, wait time.Duration) {
+	defer unix.Close(g.fd)
 	var held [4 << 10]byte
+	until := time.Now().Add(wait)
 	for b := held[:0]; len(b) < cap(b); {
-		n, got := 0, error(nil)
-		err := raw.Read(func(fd uintptr) bool {
-			n, got = unix.Read(int(fd), b[len(b):cap(b)])
-			return wait == 0 || !errors.Is(got, unix.EAGAIN)
-		})
-		if err != nil || got != nil || n <= 0 {
+		if left := time.Until(until); wait > 0 {
+			if n, _ := unix.Poll([]unix.PollFd{{Fd: int32(g.fd), Events: unix.POLLIN}}, int(max(0, left).Milliseconds())); n <= 0 {
+				return
+			}
+		}
+		n, err := unix.Read(g.fd, b[len(b):cap(b)])
+		if err != nil || n <= 0 {
 			return
 		}
 		b = b[:len(b)+n]
@@ -226,20 +265,23 @@
 			return
 		case size == 0:
 			continue
-		case m.Kind == rpc.Task: // it goes unheard at worst
-			_ = c.SetDeadline(time.Now().Add(hearFor))
-			_, _ = c.Write(rpc.PutRejected(nil, m.Number, rpc.Say{}))
+		case m.Kind == rpc.Task: // a fresh connection takes so little at once, or its peer is gone
+			_, _ = unix.Write(g.fd, rpc.PutRejected(held[:0:0], m.Number, rpc.Say{}))
 		case m.Kind == rpc.Check:
-			_ = c.SetDeadline(time.Now().Add(hearFor))
-			_, _ = c.Write(rpc.PutWell(nil, m.Number, true, rpc.Say{}))
+			_, _ = unix.Write(g.fd, rpc.PutWell(held[:0:0], m.Number, true, rpc.Say{}))
 		}
 		return
 	}
 }
 
 // hand gives a connection to the loop, where OnOpen meets it.
-func (a *acceptor) hand(c *net.TCPConn) {
+func (a *acceptor) hand(g guest) {
 	a.takeSpare()
+	c, err := connOf(g)
+	if err != nil {
+		<-a.pending
+		return
+	}
 	done, err := a.server.loop.Enroll(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), a), c)
 	if err != nil {
 		_ = c.Close()
@@ -253,8 +295,23 @@
 	}()
 }
 
+// connOf makes of a descriptor what gnet takes.
+func connOf(g guest) (net.Conn, error) {
+	_ = unix.SetsockoptInt(g.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // slower without, no worse
+	f := os.NewFile(uintptr(g.fd), "")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
 // close ends accepting. What waits to be accepted is closed by the system, as at every end of a listener.
 func (a *acceptor) close() {
+	a.ending.Store(true)
+	select {
+	case <-a.ended:
+	case <-a.server.looping:
+		<-a.ended
+	default: // it never began
+	}
 	_ = a.listener.Close()
 	if a.spare != nil {
 		_ = a.spare.Close()
--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -131,29 +131,25 @@
 }
 
 func TestAcceptThatFailsForSecondsEndsNothing(t *testing.T) {
-	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ECONNABORTED, syscall.EINTR} {
-		w := buildWith(t, nil, conf(t, ""))
-		b := w.balancer()
-		b.send(isWell)
-		b.expect("\xc3\x80")
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
 		var fails atomic.Bool
 		var times atomic.Int64
-		a := w.server.acceptor
-		real := a.accept
-		swap := make(chan bool)
-		fails.Store(true)
-		go func() { // the acceptor is in its real accept: it is woken by one more connection
-			a.accept = func() (*net.TCPConn, error) {
-				if fails.Load() {
-					times.Add(1)
-					return nil, &net.OpError{Op: "accept", Err: lack}
+		w := buildWith(t, nil, conf(t, ""), func(s *Server) {
+			s.acceptBy = func(accept func() (guest, error)) func() (guest, error) {
+				return func() (guest, error) {
+					if fails.Load() {
+						times.Add(1)
+						return guest{}, lack
+					}
+					return accept()
 				}
-				return real()
 			}
-			close(swap)
-		}()
-		<-swap
-		w.balancer().Close()
+		})
+		b := w.balancer()
+		b.send(isWell)
+		b.expect("\xc3\x80")
+		fails.Store(true)
+		w.balancer().Close() // wakes the accept that is under way
 		late := w.balancer()
 		late.send("%s", frame(1, "a1", "x"))
 		b.send("%s", frame(2, "a2", "x")) // those that are in go on
@@ -161,9 +157,14 @@
 		w.processor.complete(1, "a2", "done", "r")
 		b.expect(answerTo(2) + finished + "\x01r\x80")
 		time.Sleep(200 * time.Millisecond)
-		if n := times.Load(); lacks(lack) && (n == 0 || n > 100) {
+		if n := times.Load(); n == 0 || n > 100 {
 			t.Errorf("%v: %d tries in a fifth of a second", lack, n)
 		}
+		if lack == syscall.EMFILE || lack == syscall.ENFILE { // answered by the spare descriptor
+			late.expect("Busy")
+			late = w.balancer()
+			late.send("%s", frame(1, "a1", "x"))
+		}
 		fails.Store(false)
 		w.processor.wants("begin", "a1")
 		w.processor.complete(2, "a1", "done", "r")
@@ -172,23 +173,21 @@
 }
 
 func TestTheSpareDescriptorAnswersPolitely(t *testing.T) {
-	l, err := listenAs("127.0.0.9:0")
+	a, err := listenAs("127.0.0.9:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	a := &acceptor{listener: l, accept: l.AcceptTCP}
-	a.takeSpare()
+	defer a.listener.Close()
 	for _, first := range []string{frame(1, "a1", "x"), isWell, ""} {
-		c, err := net.Dial("tcp", l.Addr().String())
+		c, err := net.Dial("tcp", a.listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		e := wrap(t, c)
 		e.send("%s", first)
 		time.Sleep(time.Millisecond)
-		given := a.bySpare(syscall.EMFILE)
-		if given == nil || a.spare != nil {
+		given, ok := a.bySpare(syscall.EMFILE)
+		if !ok || a.spare != nil {
 			t.Fatal("the spare descriptor is not given up")
 		}
 		politely(given, hearFor)
@@ -198,7 +197,7 @@
 		}
 		a.takeSpare()
 	}
-	if a.bySpare(syscall.ENOBUFS) != nil || a.spare == nil {
+	if _, ok := a.bySpare(syscall.ENOBUFS); ok || a.spare == nil {
 		t.Error("given up for what it does not help")
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -60,11 +60,12 @@
 	door      *door.Door
 	lobby     int // places in it, as the operator's file says
 	spareOpen memory.Shelf
-	acceptor  *acceptor     // where the door is guarded
-	finished  chan struct{} // closed at the end, for the acceptor
-	once      sync.Once     // for that
-	lagging   []*line       // balancers' that may have left something unread
-	sweeping  func()        // sweep and count, made once for all their timers
+	acceptBy  func(accept func() (guest, error)) func() (guest, error) // for tests, in which accept fails
+	acceptor  *acceptor                                                // where the door is guarded
+	finished  chan struct{}                                            // closed at the end, for the acceptor
+	once      sync.Once                                                // for that
+	lagging   []*line                                                  // balancers' that may have left something unread
+	sweeping  func()                                                   // sweep and count, made once for all their timers
 	counting  func()
 	processor *processorLink
 	lanes     lanes
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -128,7 +128,7 @@
 func build(t *testing.T, change func(*life.Start)) *world { return buildWith(t, change, nil) }
 
 // buildWith is build with an operator's file.
-func buildWith(t *testing.T, change func(*life.Start), conf *life.Conf) *world {
+func buildWith(t *testing.T, change func(*life.Start), conf *life.Conf, prepare ...func(*Server)) *world {
 	watch.To(t.Output())
 	w := &world{T: t, ended: make(chan error, 1), processors: listen(t), catalogues: listen(t), roster: aRoster(t)}
 	front := listen(t)
@@ -145,6 +145,9 @@
 		change(start)
 	}
 	w.server = New(start, conf)
+	for _, p := range prepare {
+		p(w.server)
+	}
 	go func() { w.ended <- w.server.Run() }()
 	w.processor = accept(t, w.processors)
 	if hello := w.processor.command(false); hello["msg"] != "hello" || hello["serial"] != 0.0 {
