Where descriptors lack, others go first: a squeeze of places that is given back

The acceptor now has the door squeeze its places, waits until those that have to go are closed, and tries again.

--- a/cmd/swiftlab/main.go
+++ b/cmd/swiftlab/main.go
@@ -53,7 +53,7 @@
 	Known     int     `help:"Clients that did tasks before they came." default:"20"`
 	Seconds   float64 `help:"How long the strangers come." default:"10"`
 	Sockets   int     `help:"Descriptors that the server is told." default:"128"`
-	Real      int     `help:"Descriptors that it really has, where that differs from the start on; 0 where not." default:"0"`
+	Real      int     `help:"Descriptors that it really has once it serves, so that accept fails; 0 for as many as it was told." default:"0"`
 	Core      int     `help:"The server's core; -1 for any." default:"1"`
 	Log       bool    `help:"Show the server's log too."`
 	JSON      string  `name:"json" help:"File for the rows, as an array." type:"path"`
--- a/internal/judge/door/guard.go
+++ b/internal/judge/door/guard.go
@@ -75,6 +75,8 @@
 	turns               uint32 // chance drawn so far
 	turned              [causeCount]int
 	changed             bool        // who is known, since Regulars
+	told                int         // places, as the rules say; Most are fewer after a squeeze
+	easedAt             float64     // when the last place was given back
 	costs               ring.Lowest // seconds of a core that an arrival took
 	arrivals            int         // since cost was told last
 	spent               float64     // of a core, when it was
@@ -84,7 +86,7 @@
 func NewGuarded(idle float64, rules Rules) *Door {
 	d := New(idle)
 	places := rules.Most + 4*rules.Lobby + 64 // those known may overflow the lobby for a moment
-	d.guard = &guard{Rules: rules, addresses: newBook(places, rules.Remember), prefixes: newBook(places, rules.Remember),
+	d.guard = &guard{Rules: rules, told: rules.Most, addresses: newBook(places, rules.Remember), prefixes: newBook(places, rules.Remember),
 		costs: ring.NewLowest(costBuckets, costFor, 0)}
 	return d
 }
@@ -110,6 +112,7 @@
 		return LetIn, 0
 	}
 	g.arrivals++
+	g.ease(now)
 	for int(slot) >= len(d.records) {
 		d.records = append(d.records, record{})
 	}
@@ -212,7 +215,7 @@
 	if e.known {
 		return g.in < g.Most
 	}
-	return g.in < g.Most-(g.Reserve+7)/8
+	return g.in < g.Most-(g.kept()+7)/8
 }
 
 // Admit lets a connection in from the lobby.
@@ -335,7 +338,7 @@
 		return false
 	}
 	e := &g.addresses.entries[r.entry-1]
-	return e.known || g.busyStrangers < g.Most-g.Reserve
+	return e.known || g.busyStrangers < g.Most-g.kept()
 }
 
 // Yields lists the connections of which one may go for the one at a slot, the first to go first. Strangers of which nothing came in
@@ -356,22 +359,12 @@
 			if known && !own.known {
 				break
 			}
-			least := int32(1)
+			least, even := int32(1), int32(0)
 			if known == own.known {
-				least = own.conns + 1
+				least, even = own.conns+1, own.conns+1
 			}
-			for rank := g.addresses.highest(known); rank >= least; rank-- {
-				for i := g.addresses.rank(known, rank).first - 1; i >= 0; i = g.addresses.entries[i].next - 1 {
-					for at := g.addresses.entries[i].first - 1; at >= 0; at = d.records[at].fore - 1 {
-						even := known == own.known && rank == own.conns+1
-						if even && now-d.records[at].heard < yieldAfter { // the rest of them were heard later
-							break
-						}
-						if !yield(at) {
-							return
-						}
-					}
-				}
+			if !d.byRank(known, least, even, now, yield) {
+				return
 			}
 		}
 		for at := own.first - 1; at >= 0; at = d.records[at].fore - 1 {
@@ -382,6 +375,62 @@
 	}
 }
 
+// byRank yields connections of addresses that hold least or more, those of the ones that hold most first. Of those that hold as many
+// as even, it yields only what was silent for yieldAfter. It tells whether to go on.
+func (d *Door) byRank(known bool, least, even int32, now float64, yield func(int32) bool) bool {
+	b := d.addresses
+	for rank := b.highest(known); rank >= least; rank-- {
+		for i := b.rank(known, rank).first - 1; i >= 0; i = b.entries[i].next - 1 {
+			for at := b.entries[i].first - 1; at >= 0; at = d.records[at].fore - 1 {
+				if rank == even && now-d.records[at].heard < yieldAfter { // the rest of them were heard later
+					break
+				}
+				if !yield(at) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+const (
+	// squeezeBy is how many connections fewer than now there may be when descriptors lack: what it takes to hand one to the loop, and one.
+	squeezeBy = 4
+	// leastPart keeps a quarter of the places whatever lacks: fewer would be no service.
+	leastPart = 4
+	// easeEvery is how often, in seconds, one more is let in again after that: the lack may be gone.
+	easeEvery = 1
+)
+
+// Squeeze tells the door that descriptors lack although it keeps to its places: there are fewer than it was told. It goes by fewer places
+// from now on, and Excess lists what has to go.
+func (d *Door) Squeeze(now float64) {
+	g := d.guard
+	g.Most = max(1, g.told/leastPart, min(g.Most, g.in-squeezeBy))
+	g.easedAt = now
+}
+
+// Excess lists connections to close until Over is no more: of strangers first, of those who hold most first.
+func (d *Door) Excess(now float64) iter.Seq[int32] {
+	return func(yield func(int32) bool) {
+		_ = d.byRank(false, 1, 0, now, yield) && d.byRank(true, 1, 0, now, yield)
+	}
+}
+
+// Over is how many connections there are beyond the places.
+func (d *Door) Over() int { return d.in - d.Most }
+
+// ease gives places back that were squeezed.
+func (g *guard) ease(now float64) {
+	if g.Most < g.told && now >= g.easedAt+easeEvery {
+		g.Most, g.easedAt = g.Most+1, now
+	}
+}
+
+// kept is how many places strangers can't keep from those known: as large a part of those there are as was told.
+func (g *guard) kept() int { return g.Reserve * g.Most / g.told }
+
 // Finished books that a task of a connection was finished: its address earns by it.
 func (d *Door) Finished(slot int32, now float64) {
 	g, r := d.guard, &d.records[slot]
--- a/internal/judge/door/guard_test.go
+++ b/internal/judge/door/guard_test.go
@@ -370,3 +370,41 @@
 		})
 	}
 }
+
+func TestASqueezeLeavesAQuarterAndIsGivenBack(t *testing.T) {
+	c := play(t)
+	named := netip.MustParseAddr("10.9.1.1")
+	for i := range 30 {
+		addr := named
+		if i%3 > 0 {
+			addr = netip.AddrFrom4([4]byte{11, byte(i), 0, 1})
+		}
+		slot, _ := c.arrive(addr)
+		c.d.Tell(slot, Spoke, c.now)
+	}
+	for range 9 {
+		c.d.Squeeze(c.now)
+		for c.d.Over() > 0 {
+			for at := range c.d.Excess(c.now) {
+				if c.knows(c.conns[at].addr) && len(c.conns)-c.knownIn() > 0 {
+					t.Fatal("a known one goes before the strangers")
+				}
+				c.leave(at)
+				break
+			}
+		}
+		c.rules.Most = c.d.Most
+		c.check()
+	}
+	if c.d.Most != 10 || c.d.in > 10 {
+		t.Errorf("%d places, %d in", c.d.Most, c.d.in)
+	}
+	for range 31 {
+		c.now++
+		c.arrive(netip.MustParseAddr("10.1.1.1"))
+		c.rules.Most = c.d.Most + 1
+	}
+	if c.d.Most != 40 {
+		t.Errorf("%d places are given back", c.d.Most)
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -36,7 +36,7 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
-	Real     int    // descriptors that the system gives a server, where that is not what it is told; 0 where it is
+	Real     int    // descriptors that the system gives a server once it serves; 0 for as many as it was told
 	Conf     string // text of the operator's file, "" for none
 	Stop     time.Duration
 	Told     shale.Told
@@ -83,6 +83,12 @@
 		if err := s.waitHealthy(ctx); err != nil {
 			return servers, err
 		}
+		if shape.Real > 0 { // lowered while it serves, so that it counts on more
+			limit := unix.Rlimit{Cur: uint64(shape.Real), Max: uint64(shape.Real)}
+			if err := unix.Prlimit(s.process.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+				return servers, err
+			}
+		}
 	}
 	return servers, nil
 }
@@ -141,12 +147,6 @@
 		return nil, fmt.Errorf("%s: %w (make build makes it)", shape.Program, err)
 	}
 	go s.listen(said, shape.Log)
-	if shape.Real > 0 {
-		limit := unix.Rlimit{Cur: uint64(shape.Real), Max: uint64(shape.Real)}
-		if err = unix.Prlimit(s.process.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
-			return nil, err
-		}
-	}
 	return s, nil
 }
 
--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -159,6 +159,9 @@
 			a.said = time.Now()
 			slog.Info("accept_waits", "err", err, "times", a.failed.Load())
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			a.squeeze()
+		}
 		if g, ok := a.bySpare(err); ok {
 			politely(g, hearFor)
 		}
@@ -274,14 +277,23 @@
 	}
 }
 
-// hand gives a connection to the loop, where OnOpen meets it.
+// mostSqueezes bounds how often others have to go for one.
+const mostSqueezes = 5
+
+// hand gives a connection to the loop, where OnOpen meets it. Where there is no descriptor for that, others have to go first.
 func (a *acceptor) hand(g guest) {
 	a.takeSpare()
 	c, err := connOf(g)
-	if err != nil {
-		<-a.pending
-		return
+	for n := 0; err != nil; n++ {
+		if n == mostSqueezes {
+			politely(g, 0)
+			<-a.pending
+			return
+		}
+		a.squeeze()
+		c, err = connOf(g)
 	}
+	_ = unix.Close(g.fd)
 	done, err := a.server.loop.Enroll(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), a), c)
 	if err != nil {
 		_ = c.Close()
@@ -295,10 +307,42 @@
 	}()
 }
 
-// connOf makes of a descriptor what gnet takes.
+// squeeze has the loop close what has to go, and waits until it has.
+func (a *acceptor) squeeze() {
+	s, done := a.server, make(chan struct{})
+	if err := s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		now := s.now()
+		s.door.Squeeze(now)
+		for s.door.Over() > 0 {
+			worst := s.firstFree(s.door.Excess(now), nil)
+			if worst == nil {
+				break // all have tasks open
+			}
+			s.counts.evicted++
+			worst.end()
+		}
+		// gnet closes them in turn; this comes behind.
+		return s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			close(done)
+			return nil
+		}))
+	})); err != nil {
+		return // it ends
+	}
+	select {
+	case <-done:
+	case <-time.After(backOffMost): // the server ends, or stands still
+	}
+}
+
+// connOf makes of a descriptor what gnet takes, beside it: so it is still there where a descriptor for that lacks.
 func connOf(g guest) (net.Conn, error) {
 	_ = unix.SetsockoptInt(g.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // slower without, no worse
-	f := os.NewFile(uintptr(g.fd), "")
+	fd, err := unix.FcntlInt(uintptr(g.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(fd), "")
 	defer f.Close()
 	return net.FileConn(f)
 }
