--- a/internal/judge/door/guard_test.go
+++ b/internal/judge/door/guard_test.go
@@ -408,3 +408,47 @@
 		t.Errorf("%d places are given back", c.d.Most)
 	}
 }
+
+func TestAFloodBehindAKnownGatewayHarmsItAlone(t *testing.T) {
+	c := play(t)
+	c.rules.PerAddress, c.d.PerAddress, c.d.ArrivalsAddress = 0, 0, 0
+	gate, honest := netip.MustParseAddr("10.1.1.1"), netip.MustParseAddr("10.1.2.1")
+	for _, addr := range []netip.Addr{gate, honest} {
+		slot, _ := c.arrive(addr)
+		for range c.rules.Earn + 1 {
+			c.now++
+			c.open(slot)
+			c.finish(slot)
+		}
+		c.leave(slot)
+	}
+	for range 500 { // many machines behind one gateway, all of which stay
+		c.now += 0.01
+		if slot, in := c.arrive(gate); in {
+			c.d.Tell(slot, Spoke, c.now)
+		}
+		c.tend()
+		if c.count(gate) == c.rules.Most {
+			break
+		}
+	}
+	for i := range c.rules.Most / 2 {
+		c.now += 0.01
+		slot, in := c.arrive(honest)
+		if !in {
+			t.Fatalf("the honest one has %d, the gateway %d", i, c.count(gate))
+		}
+		c.d.Tell(slot, Spoke, c.now)
+	}
+	if g, h := c.count(gate), c.count(honest); g-h > 1 || h-g > 1 {
+		t.Errorf("the gateway holds %d, the honest one %d", g, h)
+	}
+	for range 10 { // time stands still, or leaps
+		c.now += 1e7
+		c.tend()
+		c.check()
+	}
+	if c.d.in != 0 {
+		t.Errorf("%d are in after months", c.d.in)
+	}
+}
