--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -123,7 +123,7 @@
 }
 
 // run accepts until the listener closes. All is accepted at once, as who is known waits in the same queue of the system as strangers do;
-// strangers over the pace are closed here, which costs a fifth of what it does on the loop.
+// strangers over the pace are closed here, which costs about half of what it does on the loop.
 func (a *acceptor) run() {
 	defer close(a.ended)
 	<-a.server.looping // the first link to be dialled makes the loop known
