--- a/cmd/swiftlab/main.go
+++ b/cmd/swiftlab/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"swiftcourse/internal/lab/demo"
+	"swiftcourse/internal/lab/emulate"
 	"swiftcourse/internal/lab/entry"
 	"swiftcourse/internal/lab/fleet"
 	"swiftcourse/internal/lab/idle"
@@ -21,10 +22,11 @@
 )
 
 type program struct {
-	Demo demoCommand `cmd:"" help:"The real server at work: calm, then overloaded."`
-	Idle idleCommand `cmd:"" help:"What idle connections cost, and what the busy ones feel of them."`
-	Door doorCommand `cmd:"" help:"How known clients fare while strangers take every descriptor, with the door off and on."`
-	Hold holdCommand `cmd:"" hidden:""`
+	Demo    demoCommand    `cmd:"" help:"The real server at work: calm, then overloaded."`
+	Idle    idleCommand    `cmd:"" help:"What idle connections cost, and what the busy ones feel of them."`
+	Door    doorCommand    `cmd:"" help:"How known clients fare while strangers take every descriptor, with the door off and on."`
+	Emulate emulateCommand `cmd:"" help:"A fleet in simulated time, decided by the code that serves, with failures as a scenario says."`
+	Hold    holdCommand    `cmd:"" hidden:""`
 }
 
 type demoCommand struct {
@@ -128,6 +130,62 @@
 	return err
 }
 
+type emulateCommand struct {
+	Scenario string `arg:"" optional:"" help:"The scenario, in JSON; without one a small fleet with a crash, a drain and a slow server is played." type:"path"`
+	Seed     uint64 `help:"The seed, in place of the scenario's; 0 for that."`
+	Seeds    int    `help:"How many seeds are played, one after the other." default:"1"`
+	JSON     string `name:"json" help:"File for the reports, as an array." type:"path"`
+}
+
+func (c *emulateCommand) Run(ctx context.Context) error {
+	if c.Seeds < 1 || c.Seeds > 1000 {
+		return fmt.Errorf("--seeds %d: from 1 to 1000", c.Seeds)
+	}
+	text := emulate.Example
+	if c.Scenario != "" {
+		var err error
+		if text, err = os.ReadFile(c.Scenario); err != nil {
+			return err
+		}
+	}
+	scenario, err := emulate.ParseScenario(text)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		scenario.Seed = c.Seed
+	}
+	var reports []emulate.Report
+	broken := 0
+	for range c.Seeds {
+		from := time.Now()
+		r := emulate.Run(scenario)
+		took := time.Since(from).Seconds()
+		reports = append(reports, r)
+		broken += r.Rules
+		if err := print("", emulate.Heads, r.Rows, nil); err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d runs, %.3f of the work for nobody, %d rules broken\n", r.Seed, r.Runs, r.Wasted, r.Rules)
+		for _, b := range r.Broken {
+			fmt.Println("  " + b)
+		}
+		fmt.Fprintf(os.Stderr, "%d events in %.2f s: %.1f simulated seconds a second\n", r.Events, took, scenario.Seconds/took)
+		if scenario.Seed++; ctx.Err() != nil {
+			break
+		}
+	}
+	if c.JSON != "" {
+		if err := report.JSON(c.JSON, reports); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d rules broken", broken)
+	}
+	return nil
+}
+
 type holdCommand struct {
 	Addr  string `arg:""`
 	N     int    `arg:""`
--- /dev/null
+++ b/internal/lab/emulate/emulate_test.go
@@ -0,0 +1,174 @@
+package emulate
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+)
+
+// erlangC is the part of arrivals that wait in a queue with c servers of which each is busy for rho of the time.
+func erlangC(c int, rho float64) float64 {
+	a, sum, term := float64(c)*rho, 0.0, 1.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	last := term / (1 - rho)
+	return last / (sum + last)
+}
+
+func TestAMachineAgreesWithTheTheoryOfQueues(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cores int
+		rho   float64
+		exact bool // every run takes the same
+		want  float64
+	}{
+		{"M/M/1, processor sharing", 1, 0.7, false, 1 / (1 - 0.7)},
+		{"M/D/1, processor sharing", 1, 0.7, true, 1 / (1 - 0.7)}, // it does not depend on the distribution
+		{"M/M/4", 4, 0.8, false, 1 + erlangC(4, 0.8)/(4*(1-0.8))},
+		{"M/M/16", 16, 0.9, false, 1 + erlangC(16, 0.9)/(16*(1-0.9))},
+	} {
+		w := newWorld(7)
+		m := newMachine(w, c.cores)
+		const n, batches = 400_000, 20
+		var sums [batches]float64
+		came := 0
+		var arrive func()
+		arrive = func() {
+			if came == n {
+				return
+			}
+			at, batch, work := w.now, came*batches/n, 1.0
+			came++
+			if !c.exact {
+				work = w.exponential(1)
+			}
+			m.run(work, func() { sums[batch] += w.now - at })
+			w.after(w.exponential(1/(c.rho*float64(c.cores))), arrive)
+		}
+		arrive()
+		w.run(math.MaxFloat64)
+		mean, square := 0.0, 0.0
+		for _, s := range sums {
+			x := s / (n / batches)
+			mean += x / batches
+			square += x * x / batches
+		}
+		half := 2.86 * math.Sqrt((square-mean*mean)/(batches-1)) // of the 99% interval, by batches: Student's t of 19 degrees
+		if math.Abs(mean-c.want) > half || half > 0.1*c.want {
+			t.Errorf("%s: %.4f +- %.4f, by theory %.4f", c.name, mean, half, c.want)
+		}
+		if math.Abs(m.worked/float64(n)-1) > 0.02 {
+			t.Errorf("%s: work of %.4f each", c.name, m.worked/float64(n))
+		}
+	}
+}
+
+const calm = `{"name":"test","seed":3,"seconds":20,"servers":6,"cores":2,"load":0.6,"balancer":"two-choices","lag":0.5,"cold_for":2,"cold_from":0.3,
+"stages":[{"name":"lookup","part":0.7,"work":0.01,"due":0.5,"limit":1.5,"utility":1},
+{"name":"price","part":0.3,"work":0.04,"due":1.5,"limit":4,"utility":3}]`
+
+func scenario(t *testing.T, more string) *Scenario {
+	s, err := ParseScenario([]byte(calm + more + "}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestNoRuleBreaksAndAllHaveAnEnd(t *testing.T) {
+	for name, more := range map[string]string{
+		"calm":                             ``,
+		"overload":                         `,"load":2`,
+		"crash":                            `,"faults":[{"at":5,"kind":"crash","server":0,"for":3},{"at":6,"kind":"crash","server":1,"for":3}]`,
+		"slow":                             `,"load":0.8,"faults":[{"at":5,"kind":"slow","server":2,"for":8,"factor":0.2}]`,
+		"drain":                            `,"faults":[{"at":4,"kind":"drain","server":3,"for":1},{"at":9,"kind":"drain","server":4,"for":1}]`,
+		"all down":                         `,"servers":1,"faults":[{"at":5,"kind":"crash","server":0,"for":4}]`,
+		"crash in overload, by open tasks": `,"load":1.5,"balancer":"least-open","faults":[{"at":5,"kind":"crash","server":0,"for":3}]`,
+	} {
+		r := Run(scenario(t, more))
+		if r.Rules != 0 {
+			t.Errorf("%s: %d rules broken: %s", name, r.Rules, strings.Join(r.Broken, "\n"))
+		}
+		for _, row := range r.Rows {
+			if row.Asked < 100 || row.Asked != row.Finished+row.Late+row.Rejected+row.Abandoned+row.TimedOut+row.Unreachable {
+				t.Errorf("%s: %+v", name, row)
+			}
+			if name == "calm" && float64(row.Finished) < 0.99*float64(row.Asked) {
+				t.Errorf("calm: %+v", row)
+			}
+		}
+	}
+}
+
+func TestTheSameSeedGivesTheSameReport(t *testing.T) {
+	more := `,"load":1.3,"faults":[{"at":5,"kind":"crash","server":0,"for":3},{"at":7,"kind":"drain","server":1,"for":1}]`
+	tell := func(s *Scenario) string {
+		text, err := json.Marshal(Run(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	first, again, other := tell(scenario(t, more)), tell(scenario(t, more)), scenario(t, more)
+	if first != again {
+		t.Errorf("%s\n%s", first, again)
+	}
+	if other.Seed++; tell(other) == first {
+		t.Error("another seed gives the same report")
+	}
+}
+
+func TestABrokenRuleIsTold(t *testing.T) {
+	p := &play{world: newWorld(1), scenario: scenario(t, "")}
+	p.report.rows = make([]Row, 2)
+	s := &server{play: p, machine: newMachine(p.world, 2), slow: 1}
+	s.machine.crowded = s.crowded
+	s.start(false)
+	at := &try{id: "a", task: &task{play: p}, at: s, work: 1, due: 0.5}
+	s.tries["a"], at.life = at, s.life
+	s.begin(at)
+	at.job = nil
+	s.begin(at)
+	s.answer("a", rejected, 0, false)
+	s.answer("a", rejected, 0, false)
+	p.run(3) // two runs of one try are on the machine; one that no module knows is never answered
+	for range 40 {
+		s.machine.run(100, func() {})
+	}
+	p.after(2, func() { s.machine.run(100, func() {}) })
+	p.run(10)
+	for _, want := range []string{"run a second time", "answered a second time", "fell over"} {
+		if !strings.Contains(strings.Join(p.report.broken, "\n"), want) {
+			t.Errorf("%q is not told: %q", want, p.report.broken)
+		}
+	}
+}
+
+func TestAScenariosFaultsAreNamed(t *testing.T) {
+	for _, c := range []struct{ more, want string }{
+		{`,"servers":0`, "servers"}, {`,"load":0`, "load"}, {`,"balancer":"best"`, "balancer"}, {`,"seconds":-1`, "seconds"},
+		{`,"faults":[{"kind":"flood"}]`, "faults[0]"}, {`,"faults":[{"kind":"crash","server":9}]`, "faults[0]"}, {`,"tries":0`, "tries"},
+		{`,"stages":[]`, "stages"}, {`,"cold_from":0`, "cold_from"}, {`,"colour":1`, "colour"},
+		{`,"stages":[{"part":0.5}]`, "stages"}, {`,"stages":[{"work":-1}]`, "stages[0]"}, // the rest is as the first list has it
+	} {
+		if _, err := ParseScenario([]byte(calm + c.more + "}")); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.more, err)
+		}
+	}
+}
+
+// BenchmarkPlay tells how long a simulated second of a large fleet takes.
+func BenchmarkPlay(b *testing.B) {
+	s, err := ParseScenario([]byte(calm + `,"servers":200,"seconds":2,"load":0.8}`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for range b.N {
+		r := Run(s)
+		b.ReportMetric(float64(r.Events)/s.Seconds, "events/s")
+	}
+}
