The emulator's dependency: calls halfway through a run, slow or silent below

A stage may call a shared machine below; the module's Call, Skip and time-outs are carried out, and the dependency may be slow or silent for a while. Measured: no rule broken with it slow tenfold for 6 s, nor silent for 4 s with a crash beside it at 1.2 times the cores.

--- a/internal/lab/emulate/emulate_test.go
+++ b/internal/lab/emulate/emulate_test.go
@@ -71,6 +71,8 @@
 "stages":[{"name":"lookup","part":0.7,"work":0.01,"due":0.5,"limit":1.5,"utility":1},
 {"name":"price","part":0.3,"work":0.04,"due":1.5,"limit":4,"utility":3}]`
 
+const calls = `,"below":{"cores":6,"work":0.01},"stages":[{},{"calls":true}]`
+
 func scenario(t *testing.T, more string) *Scenario {
 	s, err := ParseScenario([]byte(calm + more + "}"))
 	if err != nil {
@@ -87,9 +89,15 @@
 		"slow":                             `,"load":0.8,"faults":[{"at":5,"kind":"slow","server":2,"for":8,"factor":0.2}]`,
 		"drain":                            `,"faults":[{"at":4,"kind":"drain","server":3,"for":1},{"at":9,"kind":"drain","server":4,"for":1}]`,
 		"all down":                         `,"servers":1,"faults":[{"at":5,"kind":"crash","server":0,"for":4}]`,
+		"calls":                            calls,
+		"below slow":                       calls + `,"faults":[{"at":5,"kind":"below-slow","for":6,"factor":0.1}]`,
+		"below dead, and a crash":          calls + `,"load":1.2,"faults":[{"at":5,"kind":"below-dead","for":4},{"at":6,"kind":"crash","server":1,"for":2}]`,
 		"crash in overload, by open tasks": `,"load":1.5,"balancer":"least-open","faults":[{"at":5,"kind":"crash","server":0,"for":3}]`,
 	} {
 		r := Run(scenario(t, more))
+		if (r.Calls > 100) != strings.Contains(more, "below") {
+			t.Errorf("%s: %d calls", name, r.Calls)
+		}
 		if r.Rules != 0 {
 			t.Errorf("%s: %d rules broken: %s", name, r.Rules, strings.Join(r.Broken, "\n"))
 		}
@@ -124,6 +132,7 @@
 
 func TestABrokenRuleIsTold(t *testing.T) {
 	p := &play{world: newWorld(1), scenario: scenario(t, "")}
+	p.below = newMachine(p.world, 1)
 	p.report.rows = make([]Row, 2)
 	s := &server{play: p, machine: newMachine(p.world, 2), slow: 1}
 	s.machine.crowded = s.crowded
--- a/internal/lab/emulate/play.go
+++ b/internal/lab/emulate/play.go
@@ -23,17 +23,20 @@
 // play is one run of a scenario.
 type play struct {
 	*world
-	scenario *Scenario
-	servers  []*server
-	next     int // of round robin
-	count    int
-	report   tally
+	scenario  *Scenario
+	servers   []*server
+	below     *machine
+	belowDead bool
+	next      int // of round robin
+	count     int
+	report    tally
 }
 
 // tally is what is counted.
 type tally struct {
 	rows   []Row
 	runs   int
+	calls  int
 	wasted float64 // work for nobody, in seconds of a core
 	broken []string
 	rules  int
@@ -81,6 +84,7 @@
 	Seed     uint64   `json:"seed"`
 	Rows     []Row    `json:"stages"`
 	Runs     int      `json:"runs"`
+	Calls    int      `json:"calls"`
 	Wasted   float64  `json:"wasted_share"` // of all work that was done, what nobody had anything of
 	Events   int      `json:"events"`
 	Rules    int      `json:"rules_broken"`
@@ -99,6 +103,7 @@
 // Run plays a scenario to its end, and until all that was asked has its own.
 func Run(s *Scenario) Report {
 	p := &play{world: newWorld(s.Seed), scenario: s}
+	p.below = newMachine(p.world, max(1, s.Below.Cores))
 	longest := 0.0
 	for _, st := range s.Stages {
 		p.report.rows = append(p.report.rows, Row{Stage: st.Name})
@@ -125,7 +130,7 @@
 		s.machine.advance()
 		worked += s.machine.worked
 	}
-	r := Report{Scenario: p.scenario.Name, Seed: p.scenario.Seed, Rows: p.report.rows, Runs: p.report.runs,
+	r := Report{Scenario: p.scenario.Name, Seed: p.scenario.Seed, Rows: p.report.rows, Runs: p.report.runs, Calls: p.report.calls,
 		Wasted: p.report.wasted / max(enough, worked), Events: p.events, Rules: p.report.rules, Broken: p.report.broken}
 	for i := range r.Rows {
 		r.Rows[i].Mean = r.Rows[i].total / float64(max(1, r.Rows[i].Finished+r.Rows[i].Late))
@@ -148,6 +153,13 @@
 	case "drain":
 		s.leave()
 		p.after(stopIn+f.For, back)
+	case "below-slow":
+		p.below.setSpeed(f.Factor)
+		p.after(f.For, func() { p.below.setSpeed(1) })
+	case "below-dead": // it takes calls, and answers none
+		p.belowDead = true
+		p.below.clear()
+		p.after(f.For, func() { p.belowDead = false })
 	case "slow":
 		s.slow = f.Factor
 		s.warmth(1)
--- a/internal/lab/emulate/scenario.go
+++ b/internal/lab/emulate/scenario.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 
 	"swiftcourse/choice"
 )
@@ -25,6 +26,13 @@
 	ColdFrom float64 `json:"cold_from"`
 	Stages   []Stage `json:"stages"`
 	Faults   []Fault `json:"faults"`
+	Below    Below   `json:"below"`
+}
+
+// Below is the dependency that all servers share; with no cores there is none, and no stage may call it.
+type Below struct {
+	Cores int     `json:"cores"`
+	Work  float64 `json:"work"` // of a core, in the mean, for a call
 }
 
 // Stage is a kind of task.
@@ -35,12 +43,13 @@
 	Due     float64 `json:"due"`
 	Limit   float64 `json:"limit"`
 	Utility float64 `json:"utility"`
+	Calls   bool    `json:"calls"` // halfway through its work it calls below
 }
 
 // Fault is something that befalls a server.
 type Fault struct {
 	At     float64 `json:"at"`
-	Kind   string  `json:"kind"` // crash, slow or drain; after For a server that crashed or left returns, cold
+	Kind   string  `json:"kind"` // crash, slow or drain, or below-slow and below-dead of the dependency; after For a server that crashed or left returns, cold
 	Server int     `json:"server"`
 	For    float64 `json:"for"`
 	Factor float64 `json:"factor"` // of slow: what is left of its speed
@@ -48,7 +57,7 @@
 
 var (
 	balancers  = []string{"round-robin", "least-open", "two-choices", "random"}
-	faultKinds = []string{"crash", "slow", "drain"}
+	faultKinds = []string{"crash", "slow", "drain", "below-slow", "below-dead"}
 )
 
 // ParseScenario reads a scenario and names the first key that is wrong.
@@ -70,9 +79,15 @@
 			return fmt.Errorf("stages[%d]: needs a name, part, work, due and utility over 0, and a limit from due on", i)
 		}
 	}
+	if i := slices.IndexFunc(s.Stages, func(st Stage) bool { return st.Calls }); i >= 0 && s.Below.Cores == 0 {
+		return fmt.Errorf("stages[%d].calls: there is nothing below", i)
+	}
+	if s.Below.Cores < 0 || s.Below.Cores > 0 && s.Below.Work <= 0 {
+		return fmt.Errorf("below: needs work over 0, and cores from 0 on")
+	}
 	for i, f := range s.Faults {
 		if !slices.Contains(faultKinds, f.Kind) || f.Server < 0 || f.Server >= s.Servers || f.At < 0 || f.For < 0 ||
-			f.Kind == "slow" && (f.Factor <= 0 || f.Factor > 1) {
+			strings.HasSuffix(f.Kind, "slow") && (f.Factor <= 0 || f.Factor > 1) {
 			return fmt.Errorf("faults[%d]: needs a kind of %v, a server from 0 to %d, times from 0 on, and for slow a factor over 0 and at most 1",
 				i, faultKinds, s.Servers-1)
 		}
@@ -128,11 +143,15 @@
 func (s *Scenario) site(cold bool) choice.Site {
 	site := choice.Site{Servers: s.Servers, Callers: 1, Cores: s.Cores, DrainGrace: grace, AnswerSlack: answerSlack, Crowd: crowd,
 		CrowdFor: crowdFor, Memory: serverMemory, RunFactor: 1, TellsWait: true, AdviceMax: 1, Idle: 60}
+	if s.Below.Cores > 0 {
+		site.Below, site.CallFor = choice.Shared, 1
+		site.CallShare = crowd * float64(s.Below.Cores) / float64(s.Servers)
+	}
 	if cold {
 		site.ColdFrom, site.ColdFor = s.ColdFrom, s.ColdFor
 	}
 	for _, st := range s.Stages {
-		site.Stages = append(site.Stages, choice.Stage{DueTime: st.Due, TimeLimit: st.Limit, Utility: st.Utility, LateUtility: 0.2})
+		site.Stages = append(site.Stages, choice.Stage{DueTime: st.Due, TimeLimit: st.Limit, Utility: st.Utility, LateUtility: 0.2, Calls: st.Calls})
 	}
 	return site
 }
--- a/internal/lab/emulate/server.go
+++ b/internal/lab/emulate/server.go
@@ -35,6 +35,9 @@
 	due      float64 // when its final answer has to be there
 	work     float64
 	job      *job
+	parked   bool // its run waits for a call
+	asked    int  // calls of it so far; an end of another than the latest is late
+	called   *job // the latest call, while it is below
 	began    float64
 	answered bool
 	gone     bool // its caller does not wait for it any more
@@ -74,6 +77,7 @@
 	s.alive = false
 	s.machine.clear()
 	for _, t := range s.inOrder() {
+		s.hangUp(t)
 		if !t.answered && !t.gone {
 			t.answered = true
 			s.after(s.delay(), func() { t.task.ended(t, cut, 0, false) })
@@ -140,10 +144,17 @@
 	}
 }
 
+// drop forgets a try that nobody waits for. Its run, if that waits for a call, ends there.
 func (s *server) drop(t *try) {
-	if (t.answered || t.gone) && t.job == nil {
-		delete(s.tries, t.id)
+	if !t.answered && !t.gone || t.job != nil {
+		return
+	}
+	if t.parked {
+		t.parked = false
+		s.hangUp(t)
+		s.happens(choice.Event{Kind: choice.Ended, ID: t.id, Outcome: choice.Stopped, Took: s.now - t.began})
 	}
+	delete(s.tries, t.id)
 }
 
 // happens has the module decide at the end of this instant, with all that happens in it.
@@ -183,6 +194,15 @@
 			if t := s.tries[a.ID]; t != nil {
 				s.begin(t)
 			}
+		case choice.Call:
+			if t := s.tries[a.ID]; t != nil && t.parked && t.called == nil {
+				s.call(t, a.For)
+			}
+		case choice.Skip:
+			if t := s.tries[a.ID]; t != nil && t.parked {
+				s.hangUp(t)
+				s.goOn(t)
+			}
 		case choice.Reject:
 			s.answer(a.ID, rejected, a.For, a.Flag)
 		case choice.Abandon:
@@ -205,7 +225,25 @@
 	}
 	s.report.runs++
 	t.began = s.now
-	t.job = s.machine.run(t.work, func() {
+	if !t.task.of().Calls {
+		s.work(t, t.work)
+		return
+	}
+	t.job = s.machine.run(t.work/2, func() {
+		t.job = nil
+		if t.parked = !t.answered && !t.gone; !t.parked { // it is over at its call
+			s.report.wasted += t.work / 2
+			s.happens(choice.Event{Kind: choice.Ended, ID: t.id, Outcome: choice.Stopped, Took: s.now - t.began})
+			s.drop(t)
+			return
+		}
+		s.happens(choice.Event{Kind: choice.Parked, ID: t.id})
+	})
+}
+
+// work does the last part of a run.
+func (s *server) work(t *try, seconds float64) {
+	t.job = s.machine.run(seconds, func() {
 		t.job = nil
 		if t.answered || t.gone {
 			s.report.wasted += t.work
@@ -216,6 +254,42 @@
 	})
 }
 
+// goOn has a run go on after its call.
+func (s *server) goOn(t *try) {
+	t.parked = false
+	s.work(t, t.work/2)
+}
+
+// call lets a call out, for so long.
+func (s *server) call(t *try, wait float64) {
+	t.asked++
+	s.report.calls++
+	nth, life, began := t.asked, s.life, s.now
+	over := func(outcome choice.Outcome) {
+		if s.life != life || !s.alive || t.asked != nth || !t.parked || t.called == nil {
+			return
+		}
+		s.hangUp(t)
+		if outcome == choice.Finished {
+			s.goOn(t)
+		}
+		s.happens(choice.Event{Kind: choice.CallDone, ID: t.id, Outcome: outcome, Took: s.now - began})
+	}
+	t.called = s.below.run(s.exponential(s.scenario.Below.Work), func() { s.after(s.delay(), func() { over(choice.Finished) }) })
+	if s.belowDead {
+		s.below.stop(t.called)
+	}
+	s.after(wait, func() { over(choice.TimedOut) })
+}
+
+// hangUp gives a call up that may be below.
+func (s *server) hangUp(t *try) {
+	if t.called != nil {
+		s.below.stop(t.called)
+		t.called = nil
+	}
+}
+
 // answer gives a try its final answer.
 func (s *server) answer(id string, how ending, advice float64, last bool) {
 	t := s.tries[id]
