--- a/internal/life/start.go
+++ b/internal/life/start.go
@@ -70,10 +70,15 @@
 	if err != nil {
 		return nil, err
 	}
-	start.Sockets = min(start.Sockets, descriptors()) // else accept would fail, and end the loop
+	if start.Sockets = min(start.Sockets, descriptors()); start.Sockets < leastSockets { // else accept would fail, and end the loop
+		return nil, fmt.Errorf("limits.sockets: the system gives %d, under %d", start.Sockets, leastSockets)
+	}
 	return start, nil
 }
 
+// leastSockets leave balancers half of themselves.
+const leastSockets = 64
+
 // descriptors is how many this process may have.
 func descriptors() int {
 	var limit syscall.Rlimit
@@ -125,8 +130,8 @@
 		err = fmt.Errorf("limits.cores: %g is not over 0 and at most 1024", f.Limits.Cores)
 	case f.Limits.MemoryMb < 24 || f.Limits.MemoryMb > 1<<20:
 		err = fmt.Errorf("limits.memory_mb: %g is not from 24 to %d", f.Limits.MemoryMb, 1<<20)
-	case f.Limits.Sockets < 64:
-		err = fmt.Errorf("limits.sockets: %d is under 64", f.Limits.Sockets)
+	case f.Limits.Sockets < leastSockets:
+		err = fmt.Errorf("limits.sockets: %d is under %d", f.Limits.Sockets, leastSockets)
 	default:
 		if err = inRange("settings", reflect.ValueOf(s).Elem(), math.Inf(1)); err == nil {
 			err = fits(s, f.Catalog)
