--- a/internal/judge/door/door_test.go
+++ b/internal/judge/door/door_test.go
@@ -2,24 +2,18 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"reflect"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"swiftcourse/internal/standin/chance"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201") // the same verdict every time
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chance.Fix(m, 1000) }
 
 // plainConn is a connection as the plain model knows it: facts, and no queue.
 type plainConn struct {
--- a/internal/memory/wheel_test.go
+++ b/internal/memory/wheel_test.go
@@ -1,24 +1,18 @@
 package memory
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"swiftcourse/internal/standin/chance"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201") // the same verdict every time
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chance.Fix(m, 1000) }
 
 // sorted is the plain model of Timers: a list in order.
 type sorted struct{ line []entryOf }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -441,8 +441,7 @@
 	return live[0].Value.Uint64() / 1024
 }
 
-// Tell writes the line of counts now, from any goroutine, after a collection, so that it tells what is really in use. The collection
-// costs some milliseconds of another core.
+// Tell writes the line of counts now, from any goroutine, after a collection, so that it tells what is really in use.
 func (s *Server) Tell() {
 	runtime.GC()
 	<-s.looping
--- a/internal/standin/catalogue/catalogue.go
+++ b/internal/standin/catalogue/catalogue.go
@@ -26,7 +26,6 @@
 	listener net.Listener
 	fate     func(n int, c catalogue.Call) Fate
 	calls    atomic.Int64
-	quits    atomic.Int64
 }
 
 // Start listens on an address of loopback; fate tells what becomes of the nth call, from 1.
@@ -78,8 +77,7 @@
 			}
 			b = b[size:]
 			if call.Quit {
-				k.quits.Add(1)
-				continue
+				continue // an answer that is on its way goes unheard, as by the page it may
 			}
 			f := k.fate(int(k.calls.Add(1)), call)
 			if f.Break {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"os"
 )
 
@@ -35,6 +34,3 @@
 
 // Round keeps so many digits after the point, for a line that people read.
 func Round(x float64, digits int) string { return fmt.Sprintf("%.*f", digits, x) }
-
-// MB is bytes in whole megabytes.
-func MB(bytes int64) int64 { return int64(math.Round(float64(bytes) / (1 << 20))) }
--- a/internal/wire/rpc/far_test.go
+++ b/internal/wire/rpc/far_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"swiftcourse/internal/standin/chance"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201") // the same verdict every time
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "500")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { chance.Fix(m, 500) }
 
 func TestWhatACallerWritesIsWhatAServerReads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
