Tasks with an idempotency key on sockets: a repeat in its window never runs

Two faults stood in the table of kept tasks, which only a fleet's claims had used so far: a run that failed was forgotten, so its repeat would have run again; and an entry was made by the module's answer, so of two tries read in one turn both would have run. An entry of what may run once is made as the task is read, outlives a failed run, and is swept a time limit late, as a repeat that came in its window may be read after a pause. Results are bounded by an eighth of the memory; that a task ran is remembered all the same.

--- a/internal/memory/kept.go
+++ b/internal/memory/kept.go
@@ -1,6 +1,8 @@
 package memory
 
-// subject is what a repeat has in common with the task it repeats.
+import "slices"
+
+// subject is what a repeat has in common with the task it repeats: what a read is about, or an idempotency key.
 type subject struct {
 	stage int
 	name  string
@@ -15,6 +17,7 @@
 	result  []byte
 	freshTo float64 // until when its result may serve others
 	waiting []string
+	once    bool // it may run once: that it ran is told to repeats even where there is no result for them
 }
 
 // Result tells what became of a kept task.
@@ -23,23 +26,31 @@
 const (
 	Pending Result = iota // held or running
 	Done                  // its result is there
-	Missing               // it was abandoned, or dropped
+	Missing               // it was dropped, or abandoned where it may run again
+	Spent                 // it ran, may not run again, and has no result for others
 )
 
 // Kept is the table of kept tasks.
 type Kept struct {
 	bySubject map[subject]*entry
 	byID      map[string]*entry
+	results   []*entry // those that hold a result, the oldest first
+	bytes     int      // of results
+	maxBytes  int
 }
 
-// NewKept makes an empty table.
-func NewKept() *Kept { return &Kept{map[subject]*entry{}, map[string]*entry{}} }
+// NewKept makes an empty table that holds at most so many bytes of results. Where there would be more the oldest go, and their
+// repeats fail; that a task ran is remembered all the same.
+func NewKept(maxBytes int) *Kept {
+	return &Kept{bySubject: map[subject]*entry{}, byID: map[string]*entry{}, maxBytes: maxBytes}
+}
 
 // Len counts the entries.
 func (k *Kept) Len() int { return len(k.byID) }
 
-// Keep enters a task, or gives its entry a new lifetime; a newer repeat takes the subject over.
-func (k *Kept) Keep(t *Task, until float64) {
+// Keep enters a task, or gives its entry a new lifetime; a newer repeat takes the subject over. One that may run only once is told to
+// repeats for as long as the entry lives, however it ends, unless it ends unrun.
+func (k *Kept) Keep(t *Task, until float64, once bool) {
 	if t.Subject == "" {
 		return
 	}
@@ -47,7 +58,7 @@
 		e.until = until
 		return
 	}
-	e := &entry{of: subject{t.Stage, t.Subject}, id: t.ID, until: until}
+	e := &entry{of: subject{t.Stage, t.Subject}, id: t.ID, until: until, once: once}
 	if old := k.bySubject[e.of]; old != nil && len(old.waiting) == 0 {
 		k.Forget(old.id)
 	}
@@ -65,13 +76,39 @@
 	}
 	if len(e.waiting) == 0 {
 		delete(k.byID, id)
+		k.drop(e)
+	}
+}
+
+// drop lets go of an entry's result.
+func (k *Kept) drop(e *entry) {
+	if e.result == nil {
+		return
+	}
+	k.bytes -= len(e.result) + 1
+	e.result = nil
+	if i := slices.Index(k.results, e); i >= 0 {
+		k.results = slices.Delete(k.results, i, i+1)
+	}
+	if e.state = Missing; e.once {
+		e.state = Spent
+	}
+}
+
+// hold gives an entry its result; others lose theirs where all together would be too much.
+func (k *Kept) hold(e *entry, result []byte) {
+	e.state, e.result = Done, append(make([]byte, 0, len(result)), result...)
+	k.bytes += len(result) + 1 // so that each counts
+	k.results = append(k.results, e)
+	for k.bytes > k.maxBytes {
+		k.drop(k.results[0])
 	}
 }
 
 // Earlier names the kept task that a repeat points to, "" where there is none.
 func (k *Kept) Earlier(stage int, name string, came, now float64) string {
 	e := k.bySubject[subject{stage, name}]
-	if name == "" || e == nil || came > e.until || e.state == Missing || e.state == Done && now > e.freshTo {
+	if name == "" || e == nil || came > e.until || e.state == Missing || e.state == Done && now > e.freshTo && !e.once {
 		return ""
 	}
 	return e.id
@@ -79,11 +116,12 @@
 
 // Adopt enters the result of a task that ran elsewhere for those that repeat it, and gives the name of its entry.
 func (k *Kept) Adopt(t *Task, result []byte, until float64) string {
-	e := &entry{of: subject{t.Stage, t.Subject}, id: "of " + t.ID, until: until, state: Done, result: append([]byte(nil), result...), freshTo: until}
+	e := &entry{of: subject{t.Stage, t.Subject}, id: "of " + t.ID, until: until, freshTo: until, once: true}
 	if old := k.bySubject[e.of]; old != nil && len(old.waiting) == 0 {
 		k.Forget(old.id)
 	}
 	k.bySubject[e.of], k.byID[e.id] = e, e
+	k.hold(e, result)
 	return e.id
 }
 
@@ -91,7 +129,7 @@
 func (k *Kept) Wait(t *Task, now float64) ([]byte, Result) {
 	e := k.bySubject[subject{t.Stage, t.Subject}]
 	switch {
-	case e == nil || e.state == Done && now > e.freshTo:
+	case e == nil || e.state == Done && now > e.freshTo && !e.once:
 		return nil, Missing
 	case e.state == Pending:
 		e.waiting = append(e.waiting, t.ID)
@@ -99,8 +137,8 @@
 	return e.result, e.state
 }
 
-// Ended books how a kept task ended, and lists those who wait for its answer.
-func (k *Kept) Ended(id string, well bool, result []byte, freshTo float64) []string {
+// Ended books how a kept task ended, and lists those who wait for its answer. Ran tells whether its run began, as far as is known.
+func (k *Kept) Ended(id string, ran, well bool, result []byte, freshTo float64) []string {
 	e := k.byID[id]
 	if e == nil || e.state != Pending {
 		return nil
@@ -108,10 +146,17 @@
 	waiting := e.waiting
 	e.waiting, e.state = nil, Missing
 	if well {
-		e.state, e.freshTo, e.result = Done, freshTo, append([]byte(nil), result...)
+		e.freshTo = freshTo
+		k.hold(e, result)
+	} else if ran && e.once {
+		e.state = Spent
+	} else if e.once { // it never ran: the next try may
+		k.Forget(id)
+		return waiting
 	}
 	if k.bySubject[e.of] != e { // forgotten meanwhile
 		delete(k.byID, id)
+		k.drop(e)
 	}
 	return waiting
 }
--- a/internal/serve/actions.go
+++ b/internal/serve/actions.go
@@ -56,7 +56,7 @@
 		case choice.Skip:
 			s.processor.reply(t, nil, true)
 		case choice.Keep:
-			s.kept.Keep(t, now+a.For)
+			s.kept.Keep(t, now+a.For, s.runsOnce(t.Stage))
 		case choice.Forget:
 			s.kept.Forget(t.ID)
 		case choice.Reuse:
@@ -70,7 +70,7 @@
 	switch result, state := s.kept.Wait(t, now); state {
 	case memory.Done:
 		s.shared(t, result, choice.Finished, 0)
-	case memory.Missing:
+	case memory.Missing, memory.Spent:
 		s.shared(t, nil, choice.Errored, 0)
 	}
 }
--- a/internal/serve/forward.go
+++ b/internal/serve/forward.go
@@ -134,7 +134,7 @@
 
 // runEnded tells all who wait for a run how it ended.
 func (s *Server) runEnded(t *memory.Task, outcome choice.Outcome, body []byte, took float64) {
-	for _, id := range s.kept.Ended(t.ID, outcome == choice.Finished, body, s.now()+s.freshFor(t.Stage)) {
+	for _, id := range s.kept.Ended(t.ID, outcome != choice.NeverStarted, outcome == choice.Finished, body, s.now()+s.freshFor(t.Stage)) {
 		s.shared(s.tasks.Get(id), body, outcome, took)
 	}
 	s.claimEnded(t, outcome == choice.Finished, body)
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -207,6 +207,8 @@
 		bad = fmt.Errorf("it came %.0f s from now", m.Came-now)
 	case s.tasks.Get(m.ID) != nil:
 		bad = fmt.Errorf("the id of another task")
+	case s.runsOnce(stage) && s.subjectOf(stage, m) == "": // no repeat of it could be known, so it may not run
+		bad = fmt.Errorf("stage %.40q bears no idempotency key", m.Stage)
 	case s.module == nil: // no processor yet: it can't have run
 		s.tallyAway(tenant, stage)
 		s.door.Tell(p.name.Slot(), door.Spoke, now)
@@ -232,7 +234,7 @@
 		s.write(&p.line, s.scratch)
 		return nil
 	}
-	t := &memory.Task{ID: m.ID, Peer: p.name, Number: m.Number, Stage: stage, Tenant: int32(tenant), Subject: m.Subject,
+	t := &memory.Task{ID: m.ID, Peer: p.name, Number: m.Number, Stage: stage, Tenant: int32(tenant), Subject: s.subjectOf(stage, m),
 		Came: m.Came, Wait: m.Wait, Body: s.pool.Keep(m.Body)}
 	if p.open == nil {
 		p.open = s.spareOpen.Get()
@@ -248,14 +250,43 @@
 		to.Stamp.Tasks.Add(1)
 	}
 	read := choice.Event{Kind: choice.Read, ID: t.ID, Task: choice.Task{Stage: stage, Tenant: tenant,
-		Caller: m.Caller, Memory: m.Memory, Rank: m.Rank, Marked: m.Subject != "",
-		Earlier: s.kept.Earlier(stage, m.Subject, m.Came, now)}}
+		Caller: m.Caller, Memory: m.Memory, Rank: m.Rank, Marked: m.Subject != "", Again: m.Again, Hint: m.Hint,
+		Earlier: s.kept.Earlier(stage, t.Subject, m.Came, now)}}
 	if !s.claims(t, &read, now) {
+		if s.runsOnce(stage) && read.Task.Earlier == "" { // a second try may come in this very turn, before the module keeps this one
+			s.kept.Keep(t, t.Came+s.start.Site.Stages[stage].Window, true)
+		}
 		s.happens(read)
 	}
 	return nil
 }
 
+// runsOnce tells whether the repeats of a stage's tasks have to be known.
+func (s *Server) runsOnce(stage int) bool {
+	stages := s.start.Site.Stages
+	return stage < len(stages) && stages[stage].Effect == choice.Fingerprinted
+}
+
+// readLate is for how long past its window a task that may run once is remembered: a repeat that came in time may be read later, as
+// after a pause, though not when its caller has left.
+func (s *Server) readLate() (longest float64) {
+	for i, st := range s.start.Site.Stages {
+		if s.runsOnce(i) {
+			longest = max(longest, st.TimeLimit)
+		}
+	}
+	return longest
+}
+
+// subjectOf is what a task has in common with its repeats: an idempotency key where its stage asks for one, and what it is about
+// elsewhere. Where an operator names the keyed stages, of a protocol without such keys, what a task is about is its key.
+func (s *Server) subjectOf(stage int, m *rpc.Message) string {
+	if s.runsOnce(stage) && m.Key != "" {
+		return m.Key
+	}
+	return m.Subject
+}
+
 // gone tells the module that nobody waits for a task any more.
 func (s *Server) gone(t *memory.Task) {
 	if t.Answered {
@@ -273,7 +304,7 @@
 	s.leaves(t)
 	if !t.Begun { // dropped without a run: who waits for its answer gets none
 		s.unclaim(t)
-		for _, id := range s.kept.Ended(t.ID, false, nil, 0) {
+		for _, id := range s.kept.Ended(t.ID, false, false, nil, 0) {
 			s.shared(s.tasks.Get(id), nil, choice.Errored, 0)
 		}
 	}
@@ -354,6 +385,6 @@
 		}
 	}
 	s.rest(now)
-	s.kept.Sweep(now)
+	s.kept.Sweep(now - s.readLate())
 	s.timers.Add(now+sweepEvery, s.sweeping)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -105,11 +105,14 @@
 	turn            float64 // seconds that a turn took, at most
 }
 
+// keptPart of the memory is for results that repeats may still want: as much as answers that peers leave unread.
+const keptPart = 8
+
 // New makes a server that has not started yet; conf is the operator's file.
 func New(start *life.Start, conf *life.Conf) *Server {
 	now := time.Now()
 	s := &Server{start: start, anchor: now, unix: float64(now.UnixMicro()) / 1e6, looping: make(chan struct{}),
-		alarmAt: math.Inf(1), tasks: memory.NewTasks(), kept: memory.NewKept(),
+		alarmAt: math.Inf(1), tasks: memory.NewTasks(), kept: memory.NewKept(int(start.Memory / keptPart)),
 		calls: map[string]*call{}, finished: make(chan struct{}),
 		drainAt: math.Inf(1), killAt: math.Inf(1),
 		gauges: noGauges(), gaugesAt: math.Inf(-1)}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -134,7 +134,7 @@
 	front := listen(t)
 	addr := front.Addr().String()
 	front.Close()
-	start := &life.Start{Name: "n1", Listen: addr, Addresses: w.addresses(), Stop: 4, Sockets: 256,
+	start := &life.Start{Name: "n1", Listen: addr, Addresses: w.addresses(), Stop: 4, Sockets: 256, Memory: 64 << 20,
 		Stages: map[string]int{"quote": 0}, Tenants: map[string]int{"acme": 0}, StageNames: []string{"quote"},
 		Gauges: []string{"cpu_busy", "runnable"},
 		Site: choice.Site{Cores: 2, Servers: 1, Callers: 1, Crowd: 8, CrowdFor: 1, Memory: 1e6, RunFactor: 1,
--- a/internal/wire/rpc/far.go
+++ b/internal/wire/rpc/far.go
@@ -11,7 +11,7 @@
 // stand-ins speak with it.
 
 // PutTask appends a task: what Next reads as a message of kind Task. Times go out as whole milliseconds,
-// memory and rank with six decimals; a tenant, a rank or a subject that is not there is left out.
+// memory and rank with six decimals; what is not there of the tenant, the rank, the subject, the key and so on is left out.
 func PutTask(b []byte, m *Message) []byte {
 	b = putNumber(append(b, 0x94, 0), m.Number)
 	b = append(putText(b, m.Stage), 0x92, 0)
@@ -34,6 +34,15 @@
 	if m.Subject != "" {
 		field("row", m.Subject)
 	}
+	if m.Key != "" {
+		field("dedupe", m.Key)
+	}
+	if m.Again {
+		field("rep", "1")
+	}
+	if m.Hint > 0 {
+		field("work", strconv.FormatFloat(m.Hint*1000, 'f', -1, 64))
+	}
 	b[at] = 0x80 | fields
 	return putBytes(b, m.Body)
 }
--- a/internal/wire/rpc/far_test.go
+++ b/internal/wire/rpc/far_test.go
@@ -22,6 +22,8 @@
 			Came:    float64(rapid.Int64Range(0, 1<<41).Draw(t, "came")) / 1000,
 			Wait:    float64(rapid.IntRange(-1000, 1e6).Draw(t, "wait")) / 1000, Caller: rapid.IntRange(0, 1e6).Draw(t, "caller"),
 			Memory: float64(rapid.IntRange(1, 3999).Draw(t, "memory")) / 2, Rank: float64(rapid.IntRange(0, 63).Draw(t, "rank")) / 64,
+			Key: rapid.StringMatching("[0-9a-f-]{0,36}").Draw(t, "key"), Again: rapid.Bool().Draw(t, "again"),
+			Hint: float64(rapid.IntRange(0, 1e6).Draw(t, "hint")) / 1000,
 			Body: rapid.SliceOfN(rapid.Byte(), 0, maxBody).Draw(t, "body")}
 		b := PutTask(nil, &m)
 		got, n, err := Next(append(b, 0x94))
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -14,6 +14,9 @@
 
 const maxBody = 2 << 10
 
+// maxKey bounds an idempotency key, which is remembered for its whole window: two ids of the longest kind taken.
+const maxKey = 128
+
 // Kind tells what a message is.
 type Kind uint8
 
@@ -31,7 +34,10 @@
 	ID      string
 	Stage   string
 	Tenant  string
-	Subject string // "" where it names none
+	Subject string  // "" where it names none
+	Key     string  // the idempotency key that all tries of one request share, "" where it bears none
+	Again   bool    // a further try, where callers mark those
+	Hint    float64 // work that is expected, in seconds of a standard core; 0 where it is not told
 	Came    float64
 	Wait    float64 // from Came
 	Caller  int
@@ -146,7 +152,7 @@
 
 func (m *Message) field(key string, v token) (known int, err error) {
 	switch key {
-	case "call", "recv", "src", "org", "ttl", "heap", "crit", "row":
+	case "call", "recv", "src", "org", "ttl", "heap", "crit", "row", "dedupe", "rep", "work":
 		if v.kind != text {
 			return 0, errors.New("not a string")
 		}
@@ -178,6 +184,15 @@
 		m.Tenant = s
 	case "row":
 		m.Subject = s
+	case "dedupe":
+		if m.Key = s; len(s) > maxKey {
+			err = fmt.Errorf("over %d bytes", maxKey)
+		}
+	case "rep":
+		m.Again = s != "" && s != "0"
+	case "work":
+		m.Hint, err = number(s, 0, 1e12)
+		m.Hint /= 1000
 	}
 	return known, err
 }
