--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -127,6 +127,9 @@
 		"catalogue", start.Catalogue, "roster", start.Roster, "stop_s", start.Stop, "cores", start.Cores,
 		"memory_mb", start.Memory>>20, "sockets", start.Sockets, "stages", len(start.Stages),
 		"tenants", len(start.Tenants), "conf", path, "door", conf.Door)
+	for _, key := range start.Unused {
+		slog.Info("setting_unused", "key", key, "why", "this protocol has no command for it")
+	}
 	for i, stage := range start.Site.Stages {
 		slog.Info("stage", "name", start.StageNames[i], "due_s", stage.DueTime, "limit_s", stage.TimeLimit,
 			"utility", stage.Utility, "late_utility", stage.LateUtility, "skip_utility", stage.SkipUtility,
