A key that comes with another body is refused: nobody is told what another's run came to

The lines: Kept.Earlier looked at stage and key alone. An entry holds a hash of the body now; a task with the key of another body is answered Invalid, as idempotency keys are used elsewhere. It also guards against a caller that uses a key twice by mistake; it hurts one whose tries differ in bytes. The test fails without the case in peer.task.

--- a/internal/memory/kept.go
+++ b/internal/memory/kept.go
@@ -1,6 +1,9 @@
 package memory
 
-import "slices"
+import (
+	"hash/maphash"
+	"slices"
+)
 
 // subject is what a repeat has in common with the task it repeats: what a read is about, or an idempotency key.
 type subject struct {
@@ -17,7 +20,8 @@
 	result  []byte
 	freshTo float64 // until when its result may serve others
 	waiting []string
-	once    bool // it may run once: that it ran is told to repeats even where there is no result for them
+	body    uint64 // what the body hashes to
+	once    bool   // it may run once: that it ran is told to repeats even where there is no result for them
 }
 
 // Result tells what became of a kept task.
@@ -37,12 +41,13 @@
 	results   []*entry // those that hold a result, the oldest first
 	bytes     int      // of results
 	maxBytes  int
+	seed      maphash.Seed
 }
 
 // NewKept makes an empty table that holds at most so many bytes of results. Where there would be more the oldest go, and their
 // repeats fail; that a task ran is remembered all the same.
 func NewKept(maxBytes int) *Kept {
-	return &Kept{bySubject: map[subject]*entry{}, byID: map[string]*entry{}, maxBytes: maxBytes}
+	return &Kept{bySubject: map[subject]*entry{}, byID: map[string]*entry{}, maxBytes: maxBytes, seed: maphash.MakeSeed()}
 }
 
 // Len counts the entries.
@@ -58,7 +63,7 @@
 		e.until = until
 		return
 	}
-	e := &entry{of: subject{t.Stage, t.Subject}, id: t.ID, until: until, once: once}
+	e := &entry{of: subject{t.Stage, t.Subject}, id: t.ID, until: until, body: maphash.Bytes(k.seed, t.Body), once: once}
 	if old := k.bySubject[e.of]; old != nil && len(old.waiting) == 0 {
 		k.Forget(old.id)
 	}
@@ -114,9 +119,15 @@
 	return e.id
 }
 
+// Differs tells whether a task bears the key of another request, which may run once: the key is in use, with another body.
+func (k *Kept) Differs(stage int, name string, body []byte, came float64) bool {
+	e := k.bySubject[subject{stage, name}]
+	return e != nil && e.once && came <= e.until && e.state != Missing && e.body != maphash.Bytes(k.seed, body)
+}
+
 // Adopt enters the result of a task that ran elsewhere for those that repeat it, and gives the name of its entry.
 func (k *Kept) Adopt(t *Task, result []byte, until float64) string {
-	e := &entry{of: subject{t.Stage, t.Subject}, id: "of " + t.ID, until: until, freshTo: until, once: true}
+	e := &entry{of: subject{t.Stage, t.Subject}, id: "of " + t.ID, until: until, freshTo: until, body: maphash.Bytes(k.seed, t.Body), once: true}
 	if old := k.bySubject[e.of]; old != nil && len(old.waiting) == 0 {
 		k.Forget(old.id)
 	}
--- a/internal/serve/keyed_test.go
+++ b/internal/serve/keyed_test.go
@@ -122,6 +122,22 @@
 	w.processor.wants("begin", "a3")
 }
 
+// Whoever bears another's key with a body of its own is told nothing of that request, at any moment of its life, and doesn't end it.
+func TestAnothersKeyTellsNothing(t *testing.T) {
+	w := build(t, deduplicated)
+	b, c := w.balancer(), w.balancer()
+	b.send("%s", frame(1, "a1", "x", key("k")))
+	w.processor.wants("begin", "a1")
+	c.send("%s", frame(1, "b1", "forged", key("k")))
+	c.expect(answerTo(1) + "\x92\xa7Invalid\x80\xc0")
+	w.processor.complete(1, "a1", "done", "r")
+	b.expect(answerTo(1) + finished + "\x01r\x80")
+	c.send("%s", frame(2, "b2", "forged", key("k")))
+	c.expect(answerTo(2) + "\x92\xa7Invalid\x80\xc0")
+	b.send("%s", frame(2, "a2", "x", key("k"))) // while the true repeat is
+	b.expect(answerTo(2) + finished + "\x01r\x80")
+}
+
 func TestNoKeyNoRun(t *testing.T) {
 	w := build(t, deduplicated)
 	b := w.balancer()
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -209,6 +209,8 @@
 		bad = fmt.Errorf("the id of another task")
 	case s.runsOnce(stage) && s.subjectOf(stage, m) == "": // no repeat of it could be known, so it may not run
 		bad = fmt.Errorf("stage %.40q bears no idempotency key", m.Stage)
+	case s.runsOnce(stage) && s.kept.Differs(stage, s.subjectOf(stage, m), m.Body, m.Came): // or it would be told what another's run came to
+		bad = errors.New("its key is that of a request with another body")
 	case s.module == nil: // no processor yet: it can't have run
 		s.tallyAway(tenant, stage)
 		s.door.Tell(p.name.Slot(), door.Spoke, now)
