--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -201,6 +201,8 @@
 		bad = fmt.Errorf("unknown stage %.40q", m.Stage)
 	case !belongs && len(s.start.Tenants) > 0:
 		bad = fmt.Errorf("unknown tenant %.40q", m.Tenant)
+	case m.NoWait && s.start.Site.TellsWait:
+		bad = errors.New("its wait is missing")
 	case len(p.open) >= mostOpen:
 		bad = fmt.Errorf("over %d tasks open", mostOpen)
 	case math.Abs(m.Came-now) > clockApart:
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -384,6 +384,19 @@
 	}
 }
 
+// A site may not tell how long callers wait: the time limit stands in. Where it does, a task without is refused.
+func TestWaitsThatAreNotTold(t *testing.T) {
+	untold := func(m *rpc.Message) { m.NoWait = true }
+	w := build(t, func(s *life.Start) { s.Site.TellsWait, s.Site.Stages[0].TimeLimit = false, 0.4 })
+	b := w.balancer()
+	b.send("%s", frame(1, "a1", "x", untold))
+	w.processor.wants("begin", "a1")
+	b.expect(answerTo(1) + "\x92\xa6Failed")
+	told := build(t, nil).balancer()
+	told.send("%s", frame(1, "a1", "x", untold))
+	told.expect(answerTo(1) + "\x92\xa7Invalid")
+}
+
 func TestForgottenAndItsCallGivenUp(t *testing.T) {
 	w := build(t, nil)
 	b := w.balancer()
--- a/internal/wire/rpc/far.go
+++ b/internal/wire/rpc/far.go
@@ -23,7 +23,9 @@
 	field("call", m.ID)
 	field("recv", strconv.FormatFloat(math.Round(m.Came*1000), 'f', -1, 64))
 	field("src", strconv.Itoa(m.Caller))
-	field("ttl", strconv.FormatFloat(math.Round(m.Wait*1000), 'f', -1, 64))
+	if !m.NoWait {
+		field("ttl", strconv.FormatFloat(math.Round(m.Wait*1000), 'f', -1, 64))
+	}
 	field("heap", strconv.FormatFloat(m.Memory, 'f', 6, 64))
 	if m.Tenant != "" {
 		field("org", m.Tenant)
--- a/internal/wire/rpc/far_test.go
+++ b/internal/wire/rpc/far_test.go
@@ -25,6 +25,9 @@
 			Key: rapid.StringMatching("[0-9a-f-]{0,36}").Draw(t, "key"), Again: rapid.Bool().Draw(t, "again"),
 			Hint: float64(rapid.IntRange(0, 1e6).Draw(t, "hint")) / 1000,
 			Body: rapid.SliceOfN(rapid.Byte(), 0, maxBody).Draw(t, "body")}
+		if m.NoWait = rapid.Bool().Draw(t, "untold"); m.NoWait {
+			m.Wait = 0
+		}
 		b := PutTask(nil, &m)
 		got, n, err := Next(append(b, 0x94))
 		if got.Body == nil {
--- a/internal/wire/rpc/rpc.go
+++ b/internal/wire/rpc/rpc.go
@@ -39,7 +39,8 @@
 	Again   bool    // a further try, where callers mark those
 	Hint    float64 // work that is expected, in seconds of a standard core; 0 where it is not told
 	Came    float64
-	Wait    float64 // from Came
+	Wait    float64 // from Came; 0 with NoWait
+	NoWait  bool    // it does not tell how long its caller waits
 	Caller  int
 	Memory  float64
 	Rank    float64
@@ -118,6 +119,7 @@
 		return errors.New("parameters are not fields and body")
 	}
 	seen := 0
+	m.NoWait = true
 	for range fields.n {
 		key, value := c.read(), c.value()
 		if c.err != nil {
@@ -147,8 +149,8 @@
 	return nil
 }
 
-// needed has a bit for each field without which a task can't be judged.
-const needed = 1 | 2 | 4 | 8
+// needed has a bit for each field without which a task can't be judged at any site.
+const needed = 1 | 2 | 4
 
 func (m *Message) field(key string, v token) (known int, err error) {
 	switch key {
@@ -170,10 +172,10 @@
 		m.Came, known = m.Came/1000, 2
 	case "ttl":
 		m.Wait, err = number(s, -1e12, 1e12)
-		m.Wait, known = m.Wait/1000, 4
+		m.Wait, m.NoWait = m.Wait/1000, false
 	case "heap":
 		m.Memory, err = number(s, 1e-9, 2000)
-		known = 8
+		known = 4
 	case "src":
 		if m.Caller, err = strconv.Atoi(s); m.Caller < 0 {
 			err = errors.New("under 0")
