--- a/internal/judge/route/route.go
+++ b/internal/judge/route/route.go
@@ -156,7 +156,7 @@
 
 // coldPart is what a cold worker is given of the work that its stated speed allows. Forwarders draw each for itself, so what all send to
 // one worker in a time is Poisson-like around the sum of their means, however many they are; at 0.8 of the N that it is allowed it goes
-// beyond N + 2 sqrt(N) + 2 in some 3 of 10,000 such times, at N itself in 3 to 14 of 1,000. See docs/design.md.
+// beyond N + 2 sqrt(N) + 2 in at most 16 of 10,000 such times for N from 1 to 100, at N itself in up to 180. See docs/design.md.
 const coldPart = 0.8
 
 // warmth is the part of its weight that counts for a worker now.
