--- a/choice/choice.go
+++ b/choice/choice.go
@@ -359,11 +359,11 @@
 	if in.Tenant >= 0 && in.Tenant < len(s.tenants) {
 		of := &s.tenants[in.Tenant]
 		switch had := of.Take(s.now); {
-		case had: // given back where it is not run: what callers try again would use up their own share
+		case had && of.bound:
 			t.of = of
-		case of.bound:
+		case !had && of.bound:
 			over = true
-		default:
+		case !had:
 			t.value *= s.overShare
 		}
 	}
