A forwarder passes on all that a task came with: its key, the mark of a further try, expected work

Seen from reading, as keyed stages are served now: what a forwarder keeps to send on was copied field by field (serve/forward.go), and the new fields were not there, so its worker would have refused each keyed task. The test fails on the old line.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -265,7 +265,7 @@
 		t.tried = append(t.tried, name)
 		t.worker, t.began = l, now
 		m := t.out.Message
-		m.Came, m.Wait = now, t.until-now
+		m.Came, m.Wait, m.NoWait = now, t.until-now, false
 		d.router.Began(now, name, len(t.tried))
 		if t.number = l.send(t, &m); t.number > 0 {
 			return
--- a/internal/serve/forward.go
+++ b/internal/serve/forward.go
@@ -73,7 +73,8 @@
 // keepsToForward keeps what goes on with a task.
 func (s *Server) keepsToForward(t *memory.Task, m *rpc.Message) {
 	if f := s.forwarding; f != nil {
-		kept := rpc.Message{ID: m.ID, Stage: m.Stage, Tenant: m.Tenant, Caller: m.Caller, Memory: m.Memory, Rank: m.Rank, Subject: m.Subject}
+		kept := *m
+		kept.Body, kept.Bad, kept.Number = nil, nil, 0 // the body is the task's
 		f.told[t.ID] = &kept
 	}
 }
--- a/internal/serve/keyed_test.go
+++ b/internal/serve/keyed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"swiftcourse/choice"
 	"swiftcourse/internal/life"
+	"swiftcourse/internal/memory"
 	"swiftcourse/internal/wire/rpc"
 )
 
@@ -147,3 +149,17 @@
 	b.send("%s", frame(3, "a3", "x", key("k")))
 	w.processor.wants("begin", "a3")
 }
+
+// A forwarder's worker has to know a repeat too: all that a task came with goes on with it.
+func TestAForwarderPassesTheKeyOn(t *testing.T) {
+	s := New(&life.Start{}, nil)
+	s.Forward(func(Out) bool { return true }, func(string) {})
+	m := rpc.Message{Kind: rpc.Task, Number: 7, ID: "a1", Stage: "quote", Tenant: "acme", Subject: "s", Key: "k", Again: true, Hint: 0.2, Came: 1, Wait: 2,
+		NoWait: true, Caller: 3, Memory: 4, Rank: 0.5, Body: []byte("x")}
+	s.keepsToForward(&memory.Task{ID: "a1"}, &m)
+	got, want := *s.forwarding.told["a1"], m
+	want.Number, want.Body = 0, nil
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
