Test of failing accepts: dials again only once accept has recovered

Seen: one of some fourteen runs of all tests failed (in a clean checkout, guard_test.go:175, first world, EMFILE). The second dial was made while accept still failed, so the spare descriptor could answer that one 'Busy' too, and its task never began; the server was right.

--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -138,6 +138,7 @@
 		if i < 4 {
 			door = conf(t, "")
 		} // and the plain server
+		recovered := make(chan struct{}, 1) // it waits again, and takes nobody by the spare descriptor any more
 		w := buildWith(t, nil, door, func(s *Server) {
 			s.acceptBy = func(accept func() (guest, error)) func() (guest, error) {
 				return func() (guest, error) {
@@ -145,6 +146,12 @@
 						times.Add(1)
 						return guest{}, lack
 					}
+					if times.Load() > 0 {
+						select {
+						case recovered <- struct{}{}:
+						default:
+						}
+					}
 					return accept()
 				}
 			}
@@ -168,6 +175,8 @@
 		}
 		if lack == syscall.EMFILE || lack == syscall.ENFILE { // answered by the spare descriptor
 			late.expect("Busy")
+			fails.Store(false)
+			<-recovered
 			late = w.balancer()
 			late.send("%s", frame(1, "a1", "x"))
 		}
