--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -42,9 +42,9 @@
 func (s *Server) draining() bool { return s.drainAt < s.killAt }
 
 const (
-	// heardLate is how much later than it was sent a notice may be heard, as a signal waits for the process's part of a core. Of 628
-	// notices on the bench's clock, at a seventh of a core each, one came 30 and one 80 ms after those of other servers that were sent in
-	// the same moment; this is twice the latter. What is lost is the work that would end in the last moments of a drain.
+	// heardLate is how much later than it was sent a notice may be heard, as a signal waits for the process's part of a core. Of 314
+	// notices on the bench's clock that could be compared with others of the same moment, one came 30 and one 80 ms later; this is twice
+	// the latter. What is lost is the work that would end in the last moments of a drain.
 	heardLate = 0.16
 	exitEvery = 0.02 // how often it is looked whether all is answered
 	// exitBefore is how long before the kill the process ends whatever is open; the module has answered all
