Connections end in order: our side is shut behind all answers, the rest read to its end

Seen by tests on real connections, before any change: 1. bytes that are no message closed a connection at once: an answer of the same turn was never written, and tasks read before on it were given up (serve.go, OnTraffic returning Close; TestWhatIsNoMessageCostsNothingReadBefore: EOF in place of the answer); 2. one that can't be let in had its first message answered, then a close over the rest: 'connection reset by peer' at the reader (accept.go, politely; TestTheSpareDescriptorAnswersPolitely); 3. a close in a turn, or at the kill, over what came meanwhile reset the connection (peer.go, end). Two older tests looked at the library's close; they look at the far end now, which is stricter: it must read the end. A test of an open message id wanted the close at once; it now wants the answer of the task read before, then the end. Three serve tests say flush where the turn would.

--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -274,14 +274,16 @@
 	return g, nil
 }
 
-// politely answers the first message of a connection that can't be let in, if it is there or comes in so long, and closes it. A
-// task is rejected: it never ran.
+// politely answers what has come on a connection that can't be let in, or comes in so long, and closes it. A task is rejected: it
+// never ran. What is there beyond that is read too, as a close over bytes that nobody read would reset the connection and with it the
+// answers that are on their way.
 func politely(g guest, wait time.Duration) {
 	defer unix.Close(g.fd)
 	var held [4 << 10]byte
+	b, said, deaf := held[:0], 0, false
 	until := time.Now().Add(wait)
-	for b := held[:0]; len(b) < cap(b); {
-		if left := time.Until(until); wait > 0 {
+	for range maxRefusedReads {
+		if left := time.Until(until); wait > 0 && said == 0 {
 			if n, _ := unix.Poll([]unix.PollFd{{Fd: int32(g.fd), Events: unix.POLLIN}}, int(max(0, left).Milliseconds())); n <= 0 {
 				return
 			}
@@ -290,19 +292,39 @@
 		if err != nil || n <= 0 {
 			return
 		}
+		if deaf {
+			continue
+		}
 		b = b[:len(b)+n]
+		answers, rest, err := refusals(b)
+		if len(answers) > 0 { // a fresh connection takes so little at once, or its peer is gone
+			_, _ = unix.Write(g.fd, answers)
+			said++
+		}
+		if b = held[:copy(held[:], rest)]; err != nil || len(b) == cap(b) { // nothing more can be made of it
+			b, deaf = held[:0], true
+		}
+	}
+}
+
+// maxRefusedReads bounds, in reads of 4 KiB, what one that can't be let in may hold up the acceptor with: twice what 32 tasks with
+// bodies of 2 KiB take.
+const maxRefusedReads = 32
+
+// refusals are the answers to the whole messages at the start of b, and what of it is no whole message yet.
+func refusals(b []byte) (answers, rest []byte, err error) {
+	for {
 		m, size, err := rpc.Next(b)
-		switch {
-		case err != nil:
-			return
-		case size == 0:
-			continue
-		case m.Kind == rpc.Task: // a fresh connection takes so little at once, or its peer is gone
-			_, _ = unix.Write(g.fd, rpc.PutRejected(held[:0:0], m.Number, rpc.Say{}))
-		case m.Kind == rpc.Check:
-			_, _ = unix.Write(g.fd, rpc.PutWell(held[:0:0], m.Number, true, rpc.Say{}))
+		if err != nil || size == 0 {
+			return answers, b, err
 		}
-		return
+		switch m.Kind {
+		case rpc.Task:
+			answers = rpc.PutRejected(answers, m.Number, rpc.Say{})
+		case rpc.Check:
+			answers = rpc.PutWell(answers, m.Number, true, rpc.Say{})
+		}
+		b = b[size:]
 	}
 }
 
--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 	"swiftcourse/internal/standin/balancer"
@@ -229,6 +231,28 @@
 		}
 		a.takeSpare()
 	}
+	// All that was sent has an answer, and what is no message resets nothing.
+	c, err := net.Dial("tcp", a.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := wrap(t, c)
+	e.send("%s%s%s\xc1%s", frame(1, "a1", "x"), isWell, frame(2, "a2", "x"), strings.Repeat("x", 20<<10))
+	given, ok := a.bySpare(syscall.EMFILE)
+	if !ok {
+		t.Fatal("nobody to be accepted")
+	}
+	for queued := 0; queued < 20<<10; { // until it is all there
+		if queued, err = unix.IoctlGetInt(given.fd, unix.TIOCINQ); err != nil {
+			t.Fatal(err)
+		}
+	}
+	politely(given, hearFor)
+	got, err := io.ReadAll(e.in)
+	if err != nil || strings.Count(string(got), "Busy") != 2 || !strings.Contains(string(got), "\xc0\x92\xc3") {
+		t.Errorf("%q, %v", got, err)
+	}
+	a.takeSpare()
 	if _, ok := a.bySpare(syscall.ENOBUFS); ok || a.spare == nil {
 		t.Error("given up for what it does not help")
 	}
--- a/internal/serve/idle_test.go
+++ b/internal/serve/idle_test.go
@@ -94,12 +94,24 @@
 	unsent int
 }
 
-func (c *socket) Context() any             { return c.sending.context }
-func (c *socket) Peek(int) ([]byte, error) { return []byte(c.sending.bytes), nil }
-func (c *socket) Discard(int) (int, error) { return 0, nil }
-func (c *socket) OutboundBuffered() int    { return c.unsent }
-func (c *socket) Fd() int                  { return c.fd }
-func (c *socket) Close() error             { c.closed = true; return nil }
+func (c *socket) Context() any               { return c.sending.context }
+func (c *socket) Peek(int) ([]byte, error)   { return []byte(c.sending.bytes), nil }
+func (c *socket) Discard(int) (int, error)   { return 0, nil }
+func (c *socket) OutboundBuffered() int      { return c.unsent }
+func (c *socket) Fd() int                    { return c.fd }
+func (c *socket) Close() error               { c.closed = true; return nil }
+func (*socket) Writev([][]byte) (int, error) { return 0, nil }
+func (c *socket) SetContext(context any)     { c.sending.context = context }
+
+// ended tells whether the other end of a connection is read to its end: our side of it is shut, or it is closed.
+func ended(fd int) bool {
+	_ = unix.SetNonblock(fd, true)
+	for b := make([]byte, 4096); ; {
+		if n, err := unix.Read(fd, b); n <= 0 {
+			return n == 0 && err == nil
+		}
+	}
+}
 
 func TestAConnectionThatWakesWhileItIsClosedHasItsAnswer(t *testing.T) {
 	watch.To(io.Discard)
@@ -123,6 +135,7 @@
 		if s.door.State(name.Slot()) != door.Parting {
 			t.Fatalf("state %d", s.door.State(name.Slot()))
 		}
+		s.flush()
 		if wakes {
 			c.sending.bytes = frame(1, "a1", "x")
 			if _, err := unix.Write(pair[1], []byte(c.sending.bytes)); err != nil {
@@ -130,8 +143,18 @@
 			}
 		}
 		s.tend(now + 3)
-		if c.closed == wakes || (s.peers.Get(name) == nil) == wakes {
-			t.Fatalf("wakes %t: closed %t", wakes, c.closed)
+		if ended(pair[1]) == wakes || (s.peers.Get(name) == nil) == wakes {
+			t.Fatalf("wakes %t, and it is %d peers", wakes, s.peers.Len())
+		}
+		if !wakes { // what crosses that is thrown away
+			c.sending.bytes = frame(1, "a1", "x")
+			if action := s.OnTraffic(c); action != gnet.None || s.tasks.Len() != 0 {
+				t.Errorf("action %v, %d tasks", action, s.tasks.Len())
+			}
+			s.closing[0].until = 0
+			if s.endClosing(); !c.closed {
+				t.Error("stays for ever")
+			}
 		}
 		if action := s.OnTraffic(c); wakes != (action == gnet.None && s.tasks.Len() == 1) {
 			t.Errorf("wakes %t: action %v, %d tasks", wakes, action, s.tasks.Len())
@@ -162,6 +185,7 @@
 		if spoke {
 			c.sending.bytes = string(rpc.PutCheck(nil, 1))
 			s.OnTraffic(c)
+			s.flush() // its answer is out
 		}
 		c.sending.bytes = frame(1, "a1", "x")[:40]
 		s.OnTraffic(c)
--- a/internal/serve/leave.go
+++ b/internal/serve/leave.go
@@ -50,6 +50,9 @@
 	// exitBefore is how long before the kill the process ends whatever is open; the module has answered all
 	// 30 ms before it.
 	exitBefore = 0.015
+	// shutBefore is how long before the kill our side of what is still open is shut: after the module's last answers, and 10 ms before the
+	// end, which is what a close has to cross a machine.
+	shutBefore = 0.025
 	// partBefore leaves time to ask all balancers to close, and to close those that do not: five times the 50 ms in which something
 	// may cross that.
 	partBefore = 0.25
@@ -68,13 +71,22 @@
 		}
 		s.acceptor.close()
 	}
+	if now >= s.killAt-shutBefore {
+		s.shutDownAll()
+	}
 	switch {
-	case s.parting && s.acceptor.quiet() && s.tasks.Open() == 0 && s.peers.Len() == 0 && !s.owesHolders():
+	case s.parting && s.acceptor.quiet() && s.tasks.Open() == 0 && s.peers.Len() == 0 && len(s.closing) == 0 && !s.owesHolders():
 		s.exit("all_closed")
 	case now >= s.killAt-exitBefore:
 		s.exit("time_is_up")
 	default:
-		s.timers.Add(min(now+exitEvery, max(now, s.killAt-exitBefore)), s.tryExit)
+		next := now + exitEvery
+		for _, at := range []float64{s.killAt - shutBefore, s.killAt - exitBefore} {
+			if now < at {
+				next = min(next, at)
+			}
+		}
+		s.timers.Add(next, s.tryExit)
 		s.wake()
 	}
 }
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -135,8 +135,9 @@
 	s.door.Tell(name.Slot(), door.Spoke, s.now())
 	now := s.now()
 	s.tend(now + 1) // is asked to close
+	s.flush()
 	for at := now + 2; at < now+5; at++ {
-		if s.tend(at); c.closed {
+		if s.tend(at); ended(pair[1]) || c.closed {
 			t.Fatal("closed with an answer under way")
 		}
 	}
@@ -144,7 +145,7 @@
 	for at := now + 5; at < now+8; at++ {
 		s.tend(at)
 	}
-	if !c.closed {
+	if !ended(pair[1]) {
 		t.Error("stays for ever")
 	}
 }
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -26,6 +26,7 @@
 	name   memory.Name    // in the table of peers; its slot is its name at the door
 	open   []*memory.Task // from spareOpen, nil where none is
 	advice float64        // when to come back, in seconds, where it was not let in
+	muted  bool           // it sent what is no message: nothing more is read, see closing.go
 }
 
 const (
@@ -97,13 +98,16 @@
 	return nil
 }
 
-// waiting tells whether bytes of a connection are there that nobody read yet, or answers that are not out. It guards a task that arrives
-// in the turn in which its connection is to be closed, and who reads slowly; it costs one call of the system for a connection that closes.
+// waiting tells whether bytes of a connection are there that nobody read yet, or answers that the other side's system has not taken. It
+// guards a task that arrives in the turn in which its connection is to be closed, and who reads slowly, as a close over bytes that come
+// meanwhile drops what is not taken; it costs two calls of the system for a connection that closes.
 func waiting(c gnet.Conn) bool {
-	if c.OutboundBuffered() > 0 {
-		return true
-	}
-	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
+	return c.OutboundBuffered() > 0 || queued(c, unix.TIOCINQ) || queued(c, unix.TIOCOUTQ)
+}
+
+// queued tells whether the system's queue of a connection, to be read or on its way out, holds anything.
+func queued(c gnet.Conn, queue uint) bool {
+	n, err := unix.IoctlGetInt(c.Fd(), queue)
 	return err == nil && n > 0
 }
 
@@ -132,6 +136,9 @@
 }
 
 func (p *peer) take(b []byte) (n int, err error) {
+	if p.muted {
+		return len(b), nil
+	}
 	s := p.server
 	now, slot := s.now(), p.name.Slot()
 	for n < len(b) {
@@ -360,13 +367,13 @@
 		switch {
 		case v.Do == door.Ask:
 			s.askToPart(p)
-		case waiting(p.conn):
+		case p.unsent || waiting(p.conn):
 			s.door.Tell(v.Slot, door.Woke, now)
 		default:
 			if v.Was != door.Parting {
 				s.counts.unspoken++
 			}
-			p.end()
+			p.shutDown()
 		}
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -67,7 +67,9 @@
 	endLife   func()
 	once      sync.Once // for that
 	lagging   []*line   // balancers' that may have left something unread
-	sweeping  func()    // sweep and count, made once for all their timers
+	muted     []muted
+	closing   []*closing // in the order in which they began
+	sweeping  func()     // sweep and count, made once for all their timers
 	counting  func()
 	processor *processorLink
 	lanes     lanes
@@ -212,6 +214,11 @@
 		if s.mayComplain() {
 			slog.Info("bad_input", "peer", c.RemoteAddr(), "err", err)
 		}
+		if balancer, ok := p.(*peer); ok {
+			balancer.mute()
+			_, _ = c.Discard(len(b) - n)
+			return gnet.None
+		}
 		return gnet.Close
 	}
 	return gnet.None
@@ -276,6 +283,7 @@
 	}
 	s.tend(now)
 	s.flush()
+	s.tendMuted(now)
 	next := min(s.timers.Next(), s.door.Next())
 	if standing != nil && now < standing.Until {
 		next = min(next, standing.Until)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -615,12 +615,14 @@
 	odd.send("%s", frame(4, "b3", "x")) // the id of another
 	odd.expect(answerTo(4) + "\x92\xa7Invalid")
 	odd.send("%s", frame(3, "b4", "x")) // a message id that is open
+	w.processor.complete(1, "b3", "done", "r")
+	odd.expect(answerTo(3) + finished + "\x01r") // of what was read before
 	if _, err := io.ReadAll(odd.in); err != nil {
 		t.Errorf("after an open message id: %v", err)
 	}
 	good.send("%s", frame(1, "a1", "x")[40:])
 	w.processor.wants("begin", "a1")
-	w.processor.complete(1, "a1", "done", "r")
+	w.processor.complete(2, "a1", "done", "r")
 	good.expect(answerTo(1) + finished + "\x01r")
 }
 
