--- a/cmd/swiftlab/main.go
+++ b/cmd/swiftlab/main.go
@@ -21,6 +21,7 @@
 	"swiftcourse/internal/lab/fleet"
 	"swiftcourse/internal/lab/idle"
 	"swiftcourse/internal/lab/levels"
+	"swiftcourse/internal/lab/ready"
 	"swiftcourse/internal/lab/report"
 	"swiftcourse/internal/lab/versions"
 )
@@ -37,6 +38,7 @@
 	Fleet   fleetCommand   `cmd:"" help:"Forwarders, planners and workers as processes, while planners are killed."`
 	Levels  levelsCommand  `cmd:"" help:"Forwarders, planners and workers in simulated time, at large size."`
 	Shared  sharedCommand  `cmd:"" help:"A budget that all servers share, in simulated time: demand that moves, a third cut off, faults by the seed."`
+	Ready   readyCommand   `cmd:"" help:"How long restarted servers take to serve and to be listed, all at once, with a processor or roster that is late."`
 	Hold    holdCommand    `cmd:"" hidden:""`
 }
 
@@ -101,6 +103,22 @@
 	return print(c.JSON, entry.Heads, rows, err)
 }
 
+type readyCommand struct {
+	Server  string        `help:"The server's program." default:"bin/swiftcourse" type:"path"`
+	Servers int           `help:"Servers that restart together." default:"30"`
+	Rounds  int           `help:"How often, for each case." default:"5"`
+	Late    time.Duration `help:"How long after the start what is late is there." default:"5s"`
+	JSON    string        `name:"json" help:"File for the rows, as an array." type:"path"`
+}
+
+func (c *readyCommand) Run(ctx context.Context) error {
+	if c.Servers < 1 || c.Servers > 200 || c.Rounds < 1 || c.Rounds > 100 || c.Late <= 0 || c.Late > 20*time.Second {
+		return fmt.Errorf("servers are 1 to 200, rounds 1 to 100, late over 0 and up to 20s")
+	}
+	rows, err := (&ready.Plan{Program: c.Server, Servers: c.Servers, Rounds: c.Rounds, Late: c.Late, Say: os.Stderr}).Run(ctx)
+	return print(c.JSON, ready.Heads, rows, err)
+}
+
 type idleCommand struct {
 	Server      string        `help:"The server's program." default:"bin/swiftcourse" type:"path"`
 	Connections []int         `help:"Numbers of idle connections, a row each." default:"0,1000,10000"`
