Scarce calls go where they add most; what can do without one goes on without

Lines: judgeCalls had such a task wait until it was nearly late, and startable let no more of its kind begin while as many waited; calls that were slow went by utility alone, so that a call that adds half came before one that adds all. Ruled out: the hold's share of it (changed in the same way: the time at calls counts for those alone that need them). TestScarceCallsGoWhereTheyAddMost fails without it, in both parts.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -319,3 +319,60 @@
 	p.till(t, p.killAt)
 	p.must(t)
 }
+
+// parks has a running task wait for its call.
+func (p *plain) parks(t *testing.T, id string) {
+	t.Helper()
+	p.tasks[id].where = "parked"
+	p.must(t, Event{Kind: Parked, ID: id})
+}
+
+// Where calls are scarce, what can do without goes on without, rather than wait and keep others from the cores; the calls go where they add most.
+func TestScarceCallsGoWhereTheyAddMost(t *testing.T) {
+	p := warm(t, Site{Cores: 6, Below: Shared, CallShare: 1, Stages: []Stage{
+		{DueTime: 2, TimeLimit: 4, Utility: 1, Calls: true}, {DueTime: 2, TimeLimit: 4, Utility: 1, Calls: true, SkipUtility: 0.5}}})
+	for _, s := range []*Server{p.a, p.b} {
+		for range 8 {
+			s.call.log.At(p.now).Add(0.5)
+		}
+	}
+	p.till(t, p.now+0.2)
+	p.reads(t, "plain", 2, Task{Memory: 1, Wait: 4})
+	p.reads(t, "poorer", 3, Task{Stage: 1, Memory: 1, Wait: 4})
+	p.parks(t, "plain0") // has the one call that may go out
+	p.parks(t, "plain1")
+	for i := range 3 {
+		p.parks(t, fmt.Sprint("poorer", i))
+	}
+	if p.count("calling") != 1 || p.tasks["plain1"].where != "parked" {
+		t.Fatalf("%d calls are out, the other is %s", p.count("calling"), p.tasks["plain1"].where)
+	}
+	for i := range 3 {
+		if where := p.tasks[fmt.Sprint("poorer", i)].where; where != "core" {
+			t.Errorf("poorer%d is %s: it can do without", i, where)
+		}
+	}
+
+	// Slow calls go to the one that earns nothing without, though the other is due first.
+	p = warm(t, Site{Cores: 6, Below: Shared, CallShare: 1, Stages: []Stage{
+		{DueTime: 30, TimeLimit: 40, Utility: 1, Calls: true}, {DueTime: 20, TimeLimit: 40, Utility: 1, Calls: true, SkipUtility: 0.5}}})
+	for _, s := range []*Server{p.a, p.b} {
+		s.call.lowest.Take(p.now, 0.1)
+		for range 8 {
+			s.call.log.At(p.now).Add(0.5)
+		}
+	}
+	p.till(t, p.now+0.2)
+	p.reads(t, "out", 1, Task{Memory: 1, Wait: 40})
+	p.reads(t, "first", 1, Task{Stage: 1, Memory: 1, Wait: 40})
+	p.reads(t, "more", 1, Task{Memory: 1, Wait: 40})
+	p.parks(t, "out0")
+	p.parks(t, "first0")
+	p.parks(t, "more0")
+	p.tasks["out0"].where = "core"
+	p.must(t, Event{Kind: CallDone, ID: "out0", Outcome: Finished, Took: 0.5})
+	p.till(t, p.now+3)
+	if p.tasks["more0"].where != "calling" || p.tasks["first0"].where == "calling" {
+		t.Errorf("the one that needs it is %s, the other %s", p.tasks["more0"].where, p.tasks["first0"].where)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -583,8 +583,6 @@
 
 func byGoal(a, b *task) int { return cmp.Compare(a.goal, b.goal) }
 
-func byUtility(a, b *task) int { return cmp.Or(cmp.Compare(b.value, a.value), byGoal(a, b)) }
-
 // judgeRoom starts held tasks by due time while the cap, the crowd and the memory allow.
 func (s *Server) judgeRoom() {
 	for s.n(onCore) < s.runCap && s.crowdRoom() && s.step(s.first(s.startable, byGoal), room) {
@@ -593,8 +591,8 @@
 
 func (s *Server) startable(t *task) bool {
 	fits := s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
-	// While many wait to be let out, more of their kind would be work begun in vain.
-	vain := t.stage.Calls && s.n(atCall) >= max(2, s.callCap)
+	// While many wait to be let out, more of their kind would be work begun in vain, unless they can do without.
+	vain := t.stage.Calls && t.stage.SkipUtility == 0 && s.n(atCall) >= max(2, s.callCap)
 	return t.state == held && fits && !vain
 }
 
@@ -606,7 +604,7 @@
 	ahead, aheadCalls := 0.0, s.n(atCall)*s.call.mean
 	for i := 0; i < len(line); i++ {
 		t := line[i]
-		run, away := t.stage.mean, t.stage.calls*s.call.mean
+		run, away := t.stage.mean, t.stage.away(s)
 		wait, byCalls := ahead/s.runCap, away > 0 && aheadCalls/s.callCap > ahead/s.runCap
 		if byCalls {
 			wait = aheadCalls / s.callCap
@@ -619,22 +617,35 @@
 		}
 		worst := i
 		for j := 0; j < i; j++ {
-			if (!byCalls || line[j].stage.calls > 0) && s.density(line[j]) < s.density(line[worst]) {
+			if (!byCalls || line[j].stage.away(s) > 0) && s.density(line[j]) < s.density(line[worst]) {
 				worst = j
 			}
 		}
 		ahead -= line[worst].stage.mean
-		aheadCalls -= line[worst].stage.calls * s.call.mean
+		aheadCalls -= line[worst].stage.away(s)
 		s.step(line[worst], noRoom)
 		line = slices.Delete(line, worst, worst+1)
 		i--
 	}
 }
 
+// away is how long a run of the stage has to be at calls; none where it can do without.
+func (st *stage) away(s *Server) float64 {
+	if st.SkipUtility > 0 {
+		return 0
+	}
+	return st.calls * s.call.mean
+}
+
+// gain is what the call of a task adds to what it brings.
+func (t *task) gain() float64 { return t.value * (1 - t.stage.SkipUtility) }
+
+func byGain(a, b *task) int { return cmp.Or(cmp.Compare(b.gain(), a.gain()), byGoal(a, b)) }
+
 // density is what a task brings for what it takes of cores and calls; it counts for more the fewer of its
 // stage are run, or the least useful stage alone would be turned away.
 func (s *Server) density(t *task) float64 {
-	takes := t.stage.mean/s.runCap + t.stage.calls*s.call.mean/s.callCap
+	takes := t.stage.mean/s.runCap + t.stage.away(s)/s.callCap
 	return t.value / max(takes*t.stage.runs, 1e-4)
 }
 
@@ -706,11 +717,12 @@
 	}
 	order := byGoal
 	if s.slow() {
-		order = byUtility
+		order = byGain
 	}
 	for s.crowdRoom() {
 		out := s.out()
 		if out+1 > s.callsBound || out+1 > s.callCap && (out >= s.callCap || s.callCredit <= 0) {
+			s.judgeWaits()
 			return
 		}
 		ready := func(t *task) bool { return t.state == atCall && t.notTill <= s.now && t.mayCall() }
@@ -720,6 +732,19 @@
 	}
 }
 
+// judgeWaits goes through those that wait for calls, which are scarce, in the order in which a call adds most, and
+// has the others do without where their wait would be too long, by the measure of the hold.
+func (s *Server) judgeWaits() {
+	line := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != atCall })
+	slices.SortStableFunc(line, byGain)
+	for i, t := range line {
+		wait := float64(i+1) * s.call.mean / s.callCap
+		if t.stage.SkipUtility > 0 && wait > 0.25*(t.end-s.now-s.call.mean) && s.crowdRoom() {
+			s.step(t, leaveOut)
+		}
+	}
+}
+
 func (s *Server) start(t *task) {
 	t.ran = true
 	t.stage.runs += 0.02 * (1 - t.stage.runs)
