What is over a tenant's share comes last and leaves room; a share is used by what runs

Lines: read() took a part of the share for each try, and there are 2.4 tries a request, so that small tenants counted as over; two seconds of a share is one task where the fleet is large, which half of the tries find used up by chance; judgeHold let an over-share task go only where a line stands, and its start took the last core. Taken for granted before: tens of tasks of each tenant a second at a server, and first tries alone. Depth: with arrivals by chance at rate r and 1.5 r given, the part found over falls by exp(-0.76) with each task of depth; six is 1%. TestWhatIsOverAShareLeavesRoom fails without it.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -376,3 +376,45 @@
 		t.Errorf("the one that needs it is %s, the other %s", p.tasks["more0"].where, p.tasks["first0"].where)
 	}
 }
+
+// What is over its tenant's share comes last, leaves room for another, and is asked not to try elsewhere, where it is over just as well. What was not run
+// takes nothing of a share.
+func TestWhatIsOverAShareLeavesRoom(t *testing.T) {
+	site := Site{Cores: 2, Free: Odds, AdviceMax: 1, OverShare: 0.05, Servers: 10, Tenants: []Tenant{{Rate: 0.01}, {Rate: 0.01}}}
+	p := warm(t, site) // its six runs were all that the first tenant may have at once
+	p.reads(t, "over", 8, Task{Memory: 1, Wait: 4})
+	if n := p.count("core"); n != 1 {
+		t.Fatalf("%d over their share run on 2 cores", n)
+	}
+	p.reads(t, "short", 10, Task{Tenant: 1, Memory: 1, Wait: 0.01})
+	p.reads(t, "own", 1, Task{Tenant: 1, Memory: 1, Wait: 4})
+	if !p.tasks["own0"].ran {
+		t.Fatal("one within its share found no room, though ten before it did not run")
+	}
+	p.must(t, p.end(p.tasks["over0"], Finished))
+	p.reads(t, "next", 2, Task{Tenant: 1, Memory: 1, Wait: 4})
+	if !p.tasks["next0"].ran || p.tasks["next1"].ran {
+		t.Error("one over its share ran before one that came later and is within its own")
+	}
+	p.must(t, p.end(p.tasks["own0"], Finished), p.end(p.tasks["next0"], Finished))
+	p.must(t, p.end(p.tasks["next1"], Finished))
+	share, overs := p.a.share, 0
+	for range 8 { // one after the other runs, until the rest can't any more
+		p.till(t, p.now+0.5)
+		for _, id := range p.ids {
+			if task := p.tasks[id]; task.where == "core" && !task.answered {
+				p.must(t, p.end(task, Finished))
+			}
+		}
+	}
+	for id, a := range p.rejected {
+		if id[:4] == "over" {
+			if overs++; !a.Flag {
+				t.Errorf("%s may try elsewhere", id)
+			}
+		}
+	}
+	if overs == 0 || p.a.share < share {
+		t.Errorf("%d over their share rejected, share wanted %.2f, then %.2f", overs, share, p.a.share)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,6 +139,7 @@
 	calls, tries         int     // calls that came back well; tries of the one at hand that did not
 	notTill              float64 // no call before this
 	ran, repeated        bool
+	over                 bool    // its tenant is over its share
 	of                   *tenant // whose part of a budget it took one of, nil for none
 	proven               bool    // its last call is known not to have run
 }
@@ -248,8 +249,9 @@
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
 		rate := 1.5 * tn.Rate / max(1, float64(site.Servers))
-		// Two seconds of it may come at once.
-		s.tenants = append(s.tenants, tenant{Allowance: ring.NewAllowance(rate, 2*rate)})
+		// Two seconds of it may come at once, and six tasks however few they are: one whose tasks come by chance and
+		// that keeps to its share is over such a one for 1% of them.
+		s.tenants = append(s.tenants, tenant{Allowance: ring.NewAllowance(rate, max(6, 2*rate))})
 	}
 	return s
 }
@@ -359,12 +361,12 @@
 	if in.Tenant >= 0 && in.Tenant < len(s.tenants) {
 		of := &s.tenants[in.Tenant]
 		switch had := of.Take(s.now); {
-		case had && of.bound:
+		case had:
 			t.of = of
-		case !had && of.bound:
+		case of.bound:
 			over = true
-		case !had:
-			t.value *= s.overShare
+		default:
+			t.over, t.value = true, t.value*s.overShare
 		}
 	}
 	s.reads++
@@ -581,7 +583,16 @@
 	return best
 }
 
-func byGoal(a, b *task) int { return cmp.Compare(a.goal, b.goal) }
+// byGoal has what is over its tenant's share come last.
+func byGoal(a, b *task) int {
+	switch {
+	case a.over == b.over:
+		return cmp.Compare(a.goal, b.goal)
+	case a.over:
+		return 1
+	}
+	return -1
+}
 
 // judgeRoom starts held tasks by due time while the cap, the crowd and the memory allow.
 func (s *Server) judgeRoom() {
@@ -593,7 +604,9 @@
 	fits := s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
 	// While many wait to be let out, more of their kind would be work begun in vain, unless they can do without.
 	vain := t.stage.Calls && t.stage.SkipUtility == 0 && s.n(atCall) >= max(2, s.callCap)
-	return t.state == held && fits && !vain
+	// What is over its tenant's share leaves room for another, as it can't be taken off for them.
+	spare := !t.over || s.n(onCore) < max(1, s.runCap-1)
+	return t.state == held && fits && !vain && spare
 }
 
 // judgeHold goes through the hold by due time and turns away what the cores, or the calls, can't reach
@@ -767,10 +780,12 @@
 		s.abandon(t)
 		return
 	}
-	s.unmet++
+	if !t.over { // it says nothing of what else is wanted, and is over its share wherever it goes
+		s.unmet++
+	}
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
+		Flag: t.over || s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
 }
 
 func (s *Server) forget(t *task) {
