Connections rest for longer while tasks wait unread, so that a full table shields

Line: tuneIdle closed every connection after 0.05 s as callers come back seldom, so that nothing kept a storm out. TestAFullTableShieldsWhileTasksWaitUnread fails without it.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -418,3 +418,26 @@
 		t.Errorf("%d over their share rejected, share wanted %.2f, then %.2f", overs, share, p.a.share)
 	}
 }
+
+// While tasks wait unread connections rest for longer, so that a full table keeps some tries out; once reading gets on they are closed at once again.
+func TestAFullTableShieldsWhileTasksWaitUnread(t *testing.T) {
+	p := warm(t, Site{Cores: 8, Callers: 600, Stages: []Stage{{DueTime: 1.2, TimeLimit: 4, Utility: 1}}})
+	n := 0
+	come := func(age float64, seconds float64) {
+		for end := p.now + seconds; p.now < end; n++ {
+			id := fmt.Sprint("a", n)
+			p.must(t, p.read(id, id, Task{Memory: 1, Age: age, Wait: 3}))
+			p.till(t, p.now+0.1)
+			p.must(t, p.end(p.tasks[id], Finished))
+		}
+	}
+	if come(0, 10); p.idle > 0.05 {
+		t.Fatalf("seldom callers are kept for %.2f s", p.idle)
+	}
+	if come(0.3, 6); p.idle < 1 { // a quarter of the due time, unread
+		t.Errorf("with tasks unread connections rest for %.2f s", p.idle)
+	}
+	if come(0, 25); p.idle > 0.06 {
+		t.Errorf("reading got on, and connections rest for %.2f s", p.idle)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -191,7 +191,7 @@
 	leastCalls, mostCalls, callMost            float64
 	callsBound                                 float64 // calls out whatever else is so: a part of a budget
 	callLinger, creditFull, patience           float64 // patience is a sixth of the shortest due time
-	callers, idleMost, idle                    float64 // idle: connections silent for so long are closed
+	callers, idleMost, idle, rest              float64 // idle: connections silent for so long are closed
 	tellsWait, byWork, tier                    bool
 	stopping                                   Stopping
 	free                                       Free
@@ -229,7 +229,7 @@
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
 		callMost: math.Inf(1), tier: site.Below == Tier, patience: math.Inf(1), gauges: Gauges{Runnable: -1},
 		callsBound: math.Inf(1),
-		callers:    float64(site.Callers), idleMost: site.Idle, idle: site.Idle,
+		callers:    float64(site.Callers), idleMost: site.Idle, idle: site.Idle, rest: 1,
 		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers)) // no limit in use, spread over the callers
@@ -249,8 +249,8 @@
 	for _, tn := range site.Tenants {
 		// A server sees about its part of a tenant's traffic; half as much again covers uneven callers.
 		rate := 1.5 * tn.Rate / max(1, float64(site.Servers))
-		// Two seconds of it may come at once, and six tasks however few they are: one whose tasks come by chance and
-		// that keeps to its share is over such a one for 1% of them.
+		// Two seconds of it may come at once, and six tasks however few they are: one whose tasks come by
+		// chance and that keeps to its share is over such a one for 1% of them.
 		s.tenants = append(s.tenants, tenant{Allowance: ring.NewAllowance(rate, max(6, 2*rate))})
 	}
 	return s
@@ -493,14 +493,22 @@
 }
 
 // tuneIdle closes connections at once where callers come back so seldom that keeping them costs the cores
-// more than new ones do, and the full table would keep others out. It may hurt in a storm of retries, where
-// a full table is the cheapest way of rejecting.
+// more than new ones do, and the full table would keep others out. While tasks wait unread it is to do just
+// that: connections rest for longer and longer, as a try that gets none costs nothing here, and one that is
+// read and turned away a handshake and a read. That guards against storms of retries and also meets bursts
+// and slow cores; it may hurt where those kept out bring what pays best.
 func (s *Server) tuneIdle() {
 	idle := s.idleMost
 	if s.gap*s.callers > 8 { // both cost about the same near 5 s, where some tens of callers share a server
-		idle = min(idle, 0.05) // the shortest that was tried, and the best on busy days
+		idle = 0.05 // the shortest that was tried, and the best on busy days
 	}
-	if idle != s.idle {
+	if s.lag > s.patience/2 { // from 0.05 s to 5 in 2.5 s, as a table takes to fill; and slowly back
+		s.rest = min(1.2*s.rest, 1000)
+	} else {
+		s.rest = max(1, s.rest/1.03)
+	}
+	idle = min(s.idleMost, idle*s.rest)
+	if idle > 1.2*s.idle || idle < s.idle/1.2 { // smaller steps would only add messages
 		s.idle = idle
 		s.act(Action{Kind: Idle, For: idle})
 	}
@@ -602,7 +610,8 @@
 
 func (s *Server) startable(t *task) bool {
 	fits := s.used()+t.memory*(s.runFactor-1) <= 0.95*s.memoryLimit
-	// While many wait to be let out, more of their kind would be work begun in vain, unless they can do without.
+	// While many wait to be let out, more of their kind would be work begun in vain, unless they can do
+	// without.
 	vain := t.stage.Calls && t.stage.SkipUtility == 0 && s.n(atCall) >= max(2, s.callCap)
 	// What is over its tenant's share leaves room for another, as it can't be taken off for them.
 	spare := !t.over || s.n(onCore) < max(1, s.runCap-1)
@@ -745,8 +754,8 @@
 	}
 }
 
-// judgeWaits goes through those that wait for calls, which are scarce, in the order in which a call adds most, and
-// has the others do without where their wait would be too long, by the measure of the hold.
+// judgeWaits goes through those that wait for calls, which are scarce, in the order in which a call adds
+// most, and has the others do without where their wait would be too long, by the measure of the hold.
 func (s *Server) judgeWaits() {
 	line := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != atCall })
 	slices.SortStableFunc(line, byGain)
@@ -785,7 +794,8 @@
 	}
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: t.over || s.lag > s.patience || s.share < 0.4 || s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
+		Flag: t.over || s.lag > s.patience || s.share < 0.4 ||
+			s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
 }
 
 func (s *Server) forget(t *task) {
