--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -25,6 +25,7 @@
 	rejected        map[string]Action
 	idle            float64
 	inHand          [][2]float64 // times and calls
+	seen            map[played]int
 }
 
 type plainTask struct {
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -41,8 +41,11 @@
 // TestRules plays whatever the wire allows against the model: no task lost, no effect twice, clean
 // drains, nothing over its limits, and the same actions from the same events.
 func TestRules(t *testing.T) {
+	seen := map[played]int{}
+	defer func() { everyCase(t, seen) }()
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPlain(drawSite(t), rapid.Int64().Draw(t, "seed"), rapid.Float64Range(0, 1e5).Draw(t, "clock"))
+		p.seen = seen
 		p.must(t, Event{Kind: Born})
 		steps := rapid.IntRange(10, 60).Draw(t, "steps")
 		drainStep := rapid.IntRange(0, 2*steps).Draw(t, "drain")
@@ -89,12 +92,40 @@
 	})
 }
 
+// played is a case that the model has met: how a call ended, of which effect, where running work can be stopped in which way.
+type played struct {
+	effect   Effect
+	stopping Stopping
+	call     Outcome
+}
+
+func (p *plain) saw(t *plainTask, o Outcome) {
+	if p.seen != nil {
+		p.seen[played{t.stage.Effect, p.site.Stopping, o}]++
+	}
+}
+
+// everyCase wants every effect with every way of stopping and every end of a call, some times each.
+func everyCase(t *testing.T, seen map[played]int) {
+	t.Helper()
+	for _, effect := range []Effect{Restartable, Fingerprinted, SideEffecting} {
+		for _, stopping := range []Stopping{NoStop, Drop, Pause} {
+			for _, call := range []Outcome{Finished, Errored, Bounced, TimedOut, Unreachable, Cut} {
+				if n := seen[played{effect, stopping, call}]; n < 5 {
+					t.Errorf("effect %d, stopping %d, a call that ends as %d: played %d times", effect, stopping, call, n)
+				}
+			}
+		}
+	}
+}
+
 // lost is what becomes of a call that runs out of time or whose task has its answer.
 func (p *plain) lost(task *plainTask) Event {
 	if task.answered {
 		return p.end(task, Stopped)
 	}
 	task.where = "parked"
+	p.saw(task, TimedOut)
 	p.lingers = append(p.lingers, p.now+p.site.CallLinger)
 	return Event{Kind: CallDone, ID: task.id, Outcome: TimedOut}
 }
@@ -126,10 +157,12 @@
 			events = append(events, p.lost(task))
 		case task.where == "calling" && what < 3:
 			task.where = "core"
+			p.saw(task, Finished)
 			events = append(events, Event{Kind: CallDone, ID: id, Outcome: Finished, Took: 0.05})
-		case task.where == "calling" && what < 6:
-			o := []Outcome{Bounced, Unreachable, Cut}[what-3]
-			task.where, task.unproven = "parked", o == Cut
+		case task.where == "calling" && what < 7:
+			o := []Outcome{Bounced, Unreachable, Cut, Errored}[what-3]
+			task.where, task.unproven = "parked", o == Cut || o == Errored
+			p.saw(task, o)
 			events = append(events, Event{Kind: CallDone, ID: id, Outcome: o, Took: 0.05})
 		case task.where == "parked" && (task.answered || task.gone):
 			events = append(events, p.end(task, Stopped))
