Standard terms for effects: Idempotent, Deduplicated, AtMostOnce; idempotency keys

Words that hid a standard concept: restartable, fingerprinted, side-effecting. Keys of the operator's file are as before.

--- a/choice/cases_test.go
+++ b/choice/cases_test.go
@@ -95,7 +95,7 @@
 // A call into a tier that hangs is given up in time for another, which gets what is left; the first to be tried
 // again is one that may be, and only where typical calls are known.
 func TestAHungCallLeavesTimeForAnother(t *testing.T) {
-	for effect, want := range map[Effect]float64{Restartable: 0.4, SideEffecting: 1.9} {
+	for effect, want := range map[Effect]float64{Idempotent: 0.4, AtMostOnce: 1.9} {
 		p := warm(t, Site{Below: Tier, Stages: []Stage{{DueTime: 2, TimeLimit: 4, Utility: 1, Effect: effect}}})
 		call := func(id string) float64 {
 			p.tasks[id].where = "parked"
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,7 +145,7 @@
 }
 
 // mayCall tells whether a call of it may go out: one that may have had its effect is not repeated.
-func (t *task) mayCall() bool { return t.tries == 0 || t.proven || t.stage.Effect == Restartable }
+func (t *task) mayCall() bool { return t.tries == 0 || t.proven || t.stage.Effect == Idempotent }
 
 // tenant is what one of those who share the service may have done here; bound tells that it is a part of a
 // budget that holds for all servers together, so that what is over it may not run at all.
@@ -377,8 +377,8 @@
 	s.byID[t.id] = t
 	s.tasks = append(s.tasks, t)
 	s.memory += t.memory
-	shares := s.reuseFor > 0 && st.Effect == Restartable && !in.Write
-	t.repeated = in.Earlier != "" && st.Effect == Fingerprinted
+	shares := s.reuseFor > 0 && st.Effect == Idempotent && !in.Write
+	t.repeated = in.Earlier != "" && st.Effect == Deduplicated
 	switch {
 	case t.arrived > s.drainAt+s.drainGrace, s.used() > 0.95*s.memoryLimit:
 		s.step(t, noRoom)
@@ -386,9 +386,9 @@
 		s.step(t, repeats)
 	case over:
 		s.step(t, noRoom)
-	case st.Effect == Fingerprinted && s.used()+s.keyMemory > 0.9*s.memoryLimit:
+	case st.Effect == Deduplicated && s.used()+s.keyMemory > 0.9*s.memoryLimit:
 		s.step(t, noRoom) // without its entry a repeat would bear no mark and run too: no entry, no run
-	case st.Effect == Fingerprinted:
+	case st.Effect == Deduplicated:
 		s.keep(t, st.Window)
 	case shares && in.Marked && s.used()+s.keyMemory < 0.5*s.memoryLimit:
 		s.keep(t, t.dueAt-s.now+s.reuseFor) // only a saving: it takes no memory that tasks need
@@ -810,7 +810,7 @@
 }
 
 func (s *Server) takeOff(t *task) {
-	if s.stopping != NoStop && t.stage.Effect != Fingerprinted { // a repeat may still want the answer of that
+	if s.stopping != NoStop && t.stage.Effect != Deduplicated { // a repeat may still want the answer of that
 		s.act(Action{Kind: TakeOff, ID: t.id})
 	}
 }
@@ -819,7 +819,7 @@
 // calls where twice that is left and it may go again: a server there that died unseen would hold it for all.
 func (s *Server) invoke(t *task) {
 	lasts, first := min(t.dueAt-s.now-slush, s.callMost), 4*s.call.mean
-	if s.tier && t.stage.Effect == Restartable && s.call.all.N >= 20 && !s.slow() && lasts > 2*first {
+	if s.tier && t.stage.Effect == Idempotent && s.call.all.N >= 20 && !s.slow() && lasts > 2*first {
 		lasts = first
 	}
 	s.act(Action{Kind: Call, ID: t.id, For: lasts})
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -63,7 +63,7 @@
 	if in.Wait > 0 {
 		t.due = p.now + in.Wait
 	}
-	if st.Effect == Fingerprinted {
+	if st.Effect == Deduplicated {
 		for _, other := range p.ids { // what holds an entry, or came in the same batch
 			o := p.tasks[other]
 			if o.identity != identity {
@@ -148,13 +148,13 @@
 		}
 	case TakeOff:
 		t.stopPending = t.where == "core"
-		ok := p.site.Stopping != NoStop && t.stage.Effect != Fingerprinted && (t.answered || t.gone)
+		ok := p.site.Stopping != NoStop && t.stage.Effect != Deduplicated && (t.answered || t.gone)
 		return check(ok, "stops what it must not")
 	case Call:
 		if !is("parked") || t.answered || a.For <= 0 || p.now+a.For > t.due {
 			return fmt.Errorf("call from %s for %.3f", t.where, a.For)
 		}
-		if t.called && t.unproven && t.stage.Effect != Restartable {
+		if t.called && t.unproven && t.stage.Effect != Idempotent {
 			return fmt.Errorf("repeats a call that may have had its effect")
 		}
 		t.where, t.called, t.unproven, t.limit = "calling", true, true, p.now+a.For
@@ -173,10 +173,10 @@
 	return nil
 }
 
-// twin tells whether another try of a fingerprinted task has run within its window.
+// twin tells whether another try of a deduplicated task has run within its window.
 func (p *plain) twin(t *plainTask) bool {
 	for _, o := range p.tasks {
-		if t.stage.Effect == Fingerprinted && o != t && o.ran && o.identity == t.identity &&
+		if t.stage.Effect == Deduplicated && o != t && o.ran && o.identity == t.identity &&
 			math.Abs(o.arrived-t.arrived) <= t.stage.Window {
 			return true
 		}
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -108,7 +108,7 @@
 // everyCase wants every effect with every way of stopping and every end of a call, some times each.
 func everyCase(t *testing.T, seen map[played]int) {
 	t.Helper()
-	for _, effect := range []Effect{Restartable, Fingerprinted, SideEffecting} {
+	for _, effect := range []Effect{Idempotent, Deduplicated, AtMostOnce} {
 		for _, stopping := range []Stopping{NoStop, Drop, Pause} {
 			for _, call := range []Outcome{Finished, Errored, Bounced, TimedOut, Unreachable, Cut} {
 				if n := seen[played{effect, stopping, call}]; n < 5 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -6,9 +6,9 @@
 type Effect uint8
 
 const (
-	Restartable   Effect = iota // may run again
-	Fingerprinted               // carries a mark by which a repeat is known; runs once in its window
-	SideEffecting               // must never run twice
+	Idempotent   Effect = iota // may run again
+	Deduplicated               // carries a mark by which a repeat is known; runs once in its window
+	AtMostOnce                 // must never run twice
 )
 
 // Below tells what the tasks' calls reach.
@@ -39,7 +39,8 @@
 	Odds        // the odds that one does not pass this server over
 )
 
-// Stage is a kind of task. Its due time is what an answer of full utility takes at most.
+// Stage is a kind of task. Its due time is what an answer of full utility takes at most, a soft deadline; its time limit is a client's
+// patience over all tries, a hard one.
 type Stage struct {
 	Effect      Effect
 	DueTime     float64
@@ -47,7 +48,7 @@
 	TimeLimit   float64
 	Utility     float64
 	LateUtility float64 // fraction paid after the due time
-	Window      float64 // fingerprinted: how long a repeat may follow
+	Window      float64 // deduplicated: how long a repeat may follow
 	Calls       bool
 	SkipUtility float64 // fraction paid when a call was left out
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -250,7 +250,7 @@
 }
 
 // safe tells whether a task may run twice.
-func (d *Dispatcher) safe(t *try) bool { return d.Stages[t.out.Stage].Effect == choice.Restartable }
+func (d *Dispatcher) safe(t *try) bool { return d.Stages[t.out.Stage].Effect == choice.Idempotent }
 
 // place sends a task to a worker, or gives it back where none may have it; advice is the last worker's.
 func (d *Dispatcher) place(now float64, t *try, advice float64) {
--- a/internal/lab/emulate/claims.go
+++ b/internal/lab/emulate/claims.go
@@ -96,7 +96,7 @@
 		l.row.Tries++
 		id := fmt.Sprintf("t%d", l.row.Tries)
 		l.tries[id] = &keyTry{key: key, at: t.now, by: s, life: s.part.Life()}
-		s.part.Heed(s.part.Now(), peers.Word{ID: id, Stage: "s", Fingerprint: key, Left: keyLongest})
+		s.part.Heed(s.part.Now(), peers.Word{ID: id, Stage: "s", Key: key, Left: keyLongest})
 		s.turn()
 	}
 	t.after(t.exponential(1/t.plan.Keys), t.claim)
--- a/internal/life/conf.go
+++ b/internal/life/conf.go
@@ -51,7 +51,7 @@
 	FleetHalt    Share         `key:"fleet-halt" default:"99.99%" validate:"gte=0.5,lte=1" right:"how sure harm has to be, from 50% to 100%"`
 
 	ReplicaHolders []string      `key:"replica-holders" validate:"max=64" right:"names, with zone and weight where they matter, such as n1 n2/east n3/west/2, at most 64; the key may be repeated"`
-	ReplicaKeyed   []string      `key:"replica-keyed" validate:"max=64" right:"stages whose tasks bear a fingerprint as their subject; the key may be repeated"`
+	ReplicaKeyed   []string      `key:"replica-keyed" validate:"max=64" right:"stages whose tasks bear an idempotency key as their subject; the key may be repeated"`
 	ReplicaCopies  int           `key:"replica-copies" default:"3" validate:"gte=1,lte=7" right:"a number of copies, from 1 to 7"`
 	ReplicaWindow  time.Duration `key:"replica-window" default:"1m" validate:"gte=1s,lte=24h" right:"a time such as 1m, from 1s to 24h"`
 	ReplicaRecords int           `key:"replica-records" default:"100000" validate:"gte=1000,lte=10000000" right:"a number of keys, from 1000 to 10000000; each takes 400 bytes and its result"`
--- a/internal/life/site.go
+++ b/internal/life/site.go
@@ -13,8 +13,8 @@
 		"pause": choice.Pause}
 	frees = map[string]choice.Free{"": choice.NoFree, "none": choice.NoFree, "level": choice.Level,
 		"credit": choice.Credit, "weight": choice.Odds}
-	effects = map[string]choice.Effect{"": choice.Restartable, "idempotent": choice.Restartable,
-		"deduplicated": choice.Fingerprinted, "at_most_once": choice.SideEffecting}
+	effects = map[string]choice.Effect{"": choice.Idempotent, "idempotent": choice.Idempotent,
+		"deduplicated": choice.Deduplicated, "at_most_once": choice.AtMostOnce}
 )
 
 // Site puts the settings in the module's words. A word not known maps to the zero value of its type.
--- a/internal/life/start.go
+++ b/internal/life/start.go
@@ -275,7 +275,7 @@
 		switch {
 		case !known:
 			return fmt.Errorf("%seffect: %q is not known", key, c.Effect)
-		case effect == choice.Fingerprinted && c.WindowMs <= 0:
+		case effect == choice.Deduplicated && c.WindowMs <= 0:
 			return fmt.Errorf("%swindowMs: not over 0, though %seffect is %q", key, key, c.Effect)
 		case c.TimeLimitMs <= 0 || c.DueTimeMs <= 0:
 			return fmt.Errorf("%shardLimitMs or objectiveMs: not over 0", key)
--- a/internal/life/start_test.go
+++ b/internal/life/start_test.go
@@ -90,7 +90,7 @@
 		}
 	}
 	s, err := Parse([]byte(strings.Replace(good, "idempotent", "deduplicated", 1)), "n3", "")
-	if err != nil || s.Site.Stages[0].Effect != choice.Fingerprinted || s.Site.Stages[0].Window != 2 || s.Unused != nil {
+	if err != nil || s.Site.Stages[0].Effect != choice.Deduplicated || s.Site.Stages[0].Window != 2 || s.Unused != nil {
 		t.Errorf("%+v, %v", s, err)
 	}
 }
@@ -102,7 +102,7 @@
 		t.Fatal(err)
 	}
 	if s := Site(&told); s.Below != choice.Shared || s.Free != choice.Odds || s.Stopping != choice.Pause ||
-		s.Cores != 6 || s.Stages[0].Effect != choice.Fingerprinted || s.Stages[0].Window != 2 || s.ColdFor != 0 {
+		s.Cores != 6 || s.Stages[0].Effect != choice.Deduplicated || s.Stages[0].Window != 2 || s.ColdFor != 0 {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -41,7 +41,7 @@
 
 // Word is what the serving loop says of a task that bears a key: that it is to be claimed, or how it ended.
 type Word struct {
-	ID, Stage, Fingerprint string
+	ID, Stage, Key string
 	Left                   float64 // seconds in which it has to be told
 	Never, Ended, Well     bool
 	Result                 []byte
@@ -56,8 +56,8 @@
 
 // Claim asks for the right to run a task that bears a key, from the serving loop. Copies.Rule is told within left seconds. False where nothing more
 // can be asked: it did not run.
-func (f *Peers) Claim(id, stage, fingerprint string, left float64) bool {
-	return f.put(Word{ID: id, Stage: stage, Fingerprint: fingerprint, Left: left})
+func (f *Peers) Claim(id, stage, key string, left float64) bool {
+	return f.put(Word{ID: id, Stage: stage, Key: key, Left: left})
 }
 
 // Never tells that a task is over that never began.
@@ -120,7 +120,7 @@
 		c.asker.Never(now, w.ID)
 	default:
 		f.passes("claiming")
-		c.asker.Begin(now, w.ID, state.KeyOf(w.Stage, w.Fingerprint), now+w.Left)
+		c.asker.Begin(now, w.ID, state.KeyOf(w.Stage, w.Key), now+w.Left)
 	}
 	f.flushCopies(now)
 	if c != nil {
--- a/internal/replica/record.go
+++ b/internal/replica/record.go
@@ -15,12 +15,12 @@
 // sum for each is 2 KB.
 const Slots = 256
 
-// Key names what a fingerprinted task is about.
+// Key names what a deduplicated task is about.
 type Key [16]byte
 
-// KeyOf is the key of a stage's fingerprint: a hash in which no two are ever the same, as that would answer one task with another's result.
-func KeyOf(stage, fingerprint string) (k Key) {
-	sum := sha256.Sum256([]byte(stage + "\x00" + fingerprint))
+// KeyOf is the key of a stage's idempotency key: a hash in which no two are ever the same, as that would answer one task with another's result.
+func KeyOf(stage, key string) (k Key) {
+	sum := sha256.Sum256([]byte(stage + "\x00" + key))
 	copy(k[:], sum[:])
 	return k
 }
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -91,7 +91,7 @@
 // effect would matter the lane is new: one that was idle may break in a way that tells nothing of the call.
 func (s *Server) route(c *call) {
 	now, from := s.now(), &s.lanes
-	mayBreak := s.start.Site.Stages[c.task.Stage].Effect == choice.Restartable && !c.again
+	mayBreak := s.start.Site.Stages[c.task.Stage].Effect == choice.Idempotent && !c.again
 	for i := len(from.idle) - 1; i >= 0 && mayBreak; i-- {
 		l := from.idle[i]
 		if now-l.quiet <= restFor && !slices.Contains(l.carried, c.task.ID) {
--- a/internal/serve/claims.go
+++ b/internal/serve/claims.go
@@ -17,7 +17,7 @@
 // Fleet grants keys. Its answer comes by Server.Rule; nothing here waits.
 type Fleet interface {
 	// Claim asks for the right to run a task, to be told within left seconds; false where nothing more can be asked.
-	Claim(id, stage, fingerprint string, left float64) bool
+	Claim(id, stage, key string, left float64) bool
 	// Never tells that a task is over that never began, Ended how the run of one ended.
 	Never(id string)
 	Ended(id string, well bool, result []byte)
@@ -46,7 +46,7 @@
 	for i, name := range s.start.StageNames {
 		if slices.Contains(stages, name) {
 			s.keyed.stages[i] = true
-			s.start.Site.Stages[i].Effect = choice.Fingerprinted
+			s.start.Site.Stages[i].Effect = choice.Deduplicated
 			s.start.Site.Stages[i].Window = window
 		}
 	}
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -278,7 +278,7 @@
 // runsOnce tells whether the repeats of a stage's tasks have to be known.
 func (s *Server) runsOnce(stage int) bool {
 	stages := s.start.Site.Stages
-	return stage < len(stages) && stages[stage].Effect == choice.Fingerprinted
+	return stage < len(stages) && stages[stage].Effect == choice.Deduplicated
 }
 
 // readLate is for how long past its window a task that may run once is remembered: a repeat that came in time may be read later, as
--- a/internal/serve/processor.go
+++ b/internal/serve/processor.go
@@ -165,7 +165,7 @@
 	for _, t := range s.tasks.InOrder() {
 		switch {
 		case !t.Begun || t.Sent <= l.confirmed:
-		case t.Asked == 0 && s.start.Site.Stages[t.Stage].Effect == choice.Restartable:
+		case t.Asked == 0 && s.start.Site.Stages[t.Stage].Effect == choice.Idempotent:
 			l.sendBegin(t)
 		case t.Replied:
 			l.sendReply(t)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -470,7 +470,7 @@
 
 // Whether a begin that has no proof was read nobody can tell, and where running twice is ruled out it is not sent again.
 func TestABeginThatMayBeLostIsNotSentAgainWhereItMayRunOnce(t *testing.T) {
-	for _, effect := range []choice.Effect{choice.SideEffecting, choice.Fingerprinted} {
+	for _, effect := range []choice.Effect{choice.AtMostOnce, choice.Deduplicated} {
 		w := build(t, func(s *life.Start) { s.Site.Stages[0].Effect, s.Site.Stages[0].Window = effect, 20 })
 		b := w.balancer()
 		b.send("%s%s", frame(1, "a1", "x", wait(2), key("k")), frame(2, "a2", "x", key("l")))
