--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -41,10 +41,10 @@
 
 // Word is what the serving loop says of a task that bears a key: that it is to be claimed, or how it ended.
 type Word struct {
-	ID, Stage, Key string
-	Left                   float64 // seconds in which it has to be told
-	Never, Ended, Well     bool
-	Result                 []byte
+	ID, Stage, Key     string
+	Left               float64 // seconds in which it has to be told
+	Never, Ended, Well bool
+	Result             []byte
 }
 
 const (
