--- a/internal/judge/door/guard.go
+++ b/internal/judge/door/guard.go
@@ -76,7 +76,7 @@
 	busyStrangers       int    // of these, those with a task open whose address is not known
 	turns               uint32 // chance drawn so far
 	turned              [causeCount]int
-	changed             bool        // who is known, since Regulars
+	changed             bool        // who is known, since KnownClients
 	told                int         // places, as the rules say; Most are fewer after a squeeze
 	easedAt             float64     // when the last place was given back
 	costs               ring.Lowest // seconds of a core that an arrival took
@@ -552,9 +552,9 @@
 	return d.Share / cost
 }
 
-// Regulars gives the addresses that are known by what they earned, for whoever has to tell them from strangers where the door is not.
+// KnownClients gives the addresses that are known by what they earned, for whoever has to tell them from strangers where the door is not.
 // It gives none and false where they are the same as the last time.
-func (d *Door) Regulars() (known map[netip.Addr]bool, changed bool) {
+func (d *Door) KnownClients() (known map[netip.Addr]bool, changed bool) {
 	g := d.guard
 	if !g.changed {
 		return nil, false
--- a/internal/judge/door/guard_test.go
+++ b/internal/judge/door/guard_test.go
@@ -21,12 +21,12 @@
 	d     *Door
 	rules Rules
 	now   float64
-	conns map[int32]*guest
+	conns map[int32]*modelConn
 }
 
 type fataler interface{ Fatalf(string, ...any) }
 
-type guest struct {
+type modelConn struct {
 	addr     netip.Addr
 	in, busy bool
 }
@@ -36,7 +36,7 @@
 		slot++
 	}
 	cause, advice := c.d.Arrive(slot, addr, c.now)
-	g := &guest{addr: addr, in: cause == LetIn}
+	g := &modelConn{addr: addr, in: cause == LetIn}
 	c.conns[slot] = g
 	if cause == NoPlace {
 		before := c.count(addr)
@@ -61,8 +61,8 @@
 	return slot, g.in
 }
 
-// fair checks that a victim may be taken for a guest.
-func (c *crowd) fair(g *guest, own int, victim int32) {
+// fair checks that a victim may be taken for another.
+func (c *crowd) fair(g *modelConn, own int, victim int32) {
 	v := c.conns[victim]
 	silent := c.d.records[victim].state == Stranger && c.now-c.d.records[victim].since > speakSoon
 	switch {
@@ -169,9 +169,9 @@
 
 func TestTheGuardKeepsItsWord(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &crowd{d: NewGuarded(rapid.SampledFrom([]float64{0.3, 30}).Draw(t, "idle"), rules()), rules: rules(), now: 1000, conns: map[int32]*guest{}}
+		c := &crowd{d: NewGuarded(rapid.SampledFrom([]float64{0.3, 30}).Draw(t, "idle"), rules()), rules: rules(), now: 1000, conns: map[int32]*modelConn{}}
 		c.fataler = t
-		pick := func(want func(*guest) bool) (int32, bool) {
+		pick := func(want func(*modelConn) bool) (int32, bool) {
 			var slots []int32
 			for slot, g := range c.conns {
 				if want(g) {
@@ -192,15 +192,15 @@
 					c.arrive(addr)
 				}
 			case 3, 4:
-				if slot, ok := pick(func(g *guest) bool { return !g.busy }); ok {
+				if slot, ok := pick(func(g *modelConn) bool { return !g.busy }); ok {
 					c.open(slot)
 				}
 			case 5, 6:
-				if slot, ok := pick(func(g *guest) bool { return g.busy }); ok {
+				if slot, ok := pick(func(g *modelConn) bool { return g.busy }); ok {
 					c.finish(slot)
 				}
 			case 7:
-				if slot, ok := pick(func(*guest) bool { return true }); ok {
+				if slot, ok := pick(func(*modelConn) bool { return true }); ok {
 					c.leave(slot)
 				}
 			case 8:
@@ -213,7 +213,7 @@
 }
 
 func play(t *testing.T) *crowd {
-	return &crowd{fataler: t, d: NewGuarded(30, rules()), rules: rules(), now: 1000, conns: map[int32]*guest{}}
+	return &crowd{fataler: t, d: NewGuarded(30, rules()), rules: rules(), now: 1000, conns: map[int32]*modelConn{}}
 }
 
 func TestAnAddressIsKnownByItsTasksAndForgotten(t *testing.T) {
--- a/internal/lab/idle/idle.go
+++ b/internal/lab/idle/idle.go
@@ -78,7 +78,7 @@
 	return told
 }
 
-// spareSockets are the descriptors that a server needs beside those of the idle connections: its lanes, links and the busy ones.
+// spareSockets are the descriptors that a server needs beside those of the idle connections: its pooled connections, links and the busy ones.
 const spareSockets = 400
 
 // Check finds numbers that this machine can't serve.
--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -24,37 +24,37 @@
 // or of memory, and its listener lives as long as the engine; this one waits and goes on, and closes alone. Its goroutine decides
 // nothing but when to wait.
 type acceptor struct {
-	server   *Server
-	listener net.Listener
-	fd       int                      // the listener's
-	ending   atomic.Bool              // it is to close
-	bell     int                      // an event descriptor, rung to have it look at that
-	ended    chan struct{}            // closed once the listener is
-	accept   func() (guest, error)    // acceptOne; a test has it fail
-	spare    *os.File                 // a descriptor to give up when there is no other
-	pace     atomic.Uint64            // strangers a second, as the bits of a float64, from the door
-	regulars atomic.Pointer[regulars] // who goes past that, from the door
-	pending  chan struct{}            // has a place for each connection on its way to the loop
-	failed   atomic.Int64             // accepts that failed for want of something
-	hurried  atomic.Int64             // strangers over the pace, closed here
-	said     time.Time
-	learnt   float64 // when the loop told the door last what was spent
+	server       *Server
+	listener     net.Listener
+	fd           int                            // the listener's
+	ending       atomic.Bool                    // it is to close
+	bell         int                            // an event descriptor, rung to have it look at that
+	ended        chan struct{}                  // closed once the listener is
+	accept       func() (acceptedSocket, error) // acceptOne; a test has it fail
+	spare        *os.File                       // a descriptor to give up when there is no other
+	pace         atomic.Uint64                  // strangers a second, as the bits of a float64, from the door
+	knownClients atomic.Pointer[knownClients]   // who goes past that, from the door
+	pending      chan struct{}                  // has a place for each connection on its way to the loop
+	failed       atomic.Int64                   // accepts that failed for want of something
+	overRate     atomic.Int64                   // strangers over the pace, closed here
+	said         time.Time
+	learnt       float64 // when the loop told the door last what was spent
 }
 
-// guest is a connection that was accepted, as its bare descriptor: most of them in a flood are closed again at once, and what the
+// acceptedSocket is a connection that was accepted, as its bare descriptor: most of them in a flood are closed again at once, and what the
 // net package makes of each would be half of the cost.
-type guest struct {
+type acceptedSocket struct {
 	fd   int
 	from netip.Addr
 }
 
-// regulars are those whom the acceptor lets past the pace.
-type regulars struct {
+// knownClients are those whom the acceptor lets past the pace.
+type knownClients struct {
 	named []netip.Prefix
 	known map[netip.Addr]bool
 }
 
-func (r *regulars) has(addr netip.Addr) bool {
+func (r *knownClients) has(addr netip.Addr) bool {
 	return r.known[addr] || slices.ContainsFunc(r.named, func(p netip.Prefix) bool { return p.Contains(addr) })
 }
 
@@ -113,11 +113,11 @@
 	if s.door.Guarded() {
 		a.pending = make(chan struct{}, s.lobbyPlaces())
 		a.pace.Store(math.Float64bits(s.door.Pace(s.now())))
-		a.regulars.Store(&regulars{named: s.door.Named})
+		a.knownClients.Store(&knownClients{named: s.door.Named})
 	} else {
 		a.pending = make(chan struct{}, onTheWay)
 		a.pace.Store(math.Float64bits(math.Inf(1)))
-		a.regulars.Store(&regulars{})
+		a.knownClients.Store(&knownClients{})
 	}
 	if s.acceptBy != nil {
 		a.accept = s.acceptBy(a.accept)
@@ -167,11 +167,11 @@
 			}
 			at = now
 			switch {
-			case a.regulars.Load().has(g.from):
+			case a.knownClients.Load().has(g.from):
 			case tokens >= 1:
 				tokens--
 			default:
-				a.hurried.Add(1)
+				a.overRate.Add(1)
 				politely(g, 0)
 				continue
 			}
@@ -216,8 +216,8 @@
 		a.server.door.Spent(float64(used.Utime.Nano()+used.Stime.Nano())/1e9, now)
 	}
 	a.pace.Store(math.Float64bits(a.server.door.Pace(now)))
-	if known, changed := a.server.door.Regulars(); changed {
-		a.regulars.Store(&regulars{a.server.door.Named, known})
+	if known, changed := a.server.door.KnownClients(); changed {
+		a.knownClients.Store(&knownClients{a.server.door.Named, known})
 	}
 }
 
@@ -229,10 +229,10 @@
 
 // bySpare accepts with the spare descriptor, where that is what lacks: who waits for longest would else wait for ever, and the
 // listener would be ready at every look.
-func (a *acceptor) bySpare(err error) (guest, bool) {
+func (a *acceptor) bySpare(err error) (acceptedSocket, bool) {
 	if a.spare == nil || !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 		a.takeSpare()
-		return guest{}, false
+		return acceptedSocket{}, false
 	}
 	_ = a.spare.Close()
 	a.spare = nil
@@ -245,7 +245,7 @@
 
 // acceptOne waits for a connection, on a thread of its own: what is accepted is a bare descriptor, and the listener's own way to
 // wait gives none.
-func (a *acceptor) acceptOne() (guest, error) {
+func (a *acceptor) acceptOne() (acceptedSocket, error) {
 	for {
 		g, err := a.acceptNow()
 		if err != unix.EAGAIN {
@@ -259,7 +259,7 @@
 }
 
 // acceptNow accepts a connection where one waits.
-func (a *acceptor) acceptNow() (g guest, err error) {
+func (a *acceptor) acceptNow() (g acceptedSocket, err error) {
 	fd, from, err := unix.Accept4(a.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	if err != nil {
 		return g, err
@@ -277,7 +277,7 @@
 // politely answers what has come on a connection that can't be let in, or comes in so long, and closes it. A task is rejected: it
 // never ran. What is there beyond that is read too, as a close over bytes that nobody read would reset the connection and with it the
 // answers that are on their way.
-func politely(g guest, wait time.Duration) {
+func politely(g acceptedSocket, wait time.Duration) {
 	defer unix.Close(g.fd)
 	var held [4 << 10]byte
 	b, said, deaf := held[:0], 0, false
@@ -332,7 +332,7 @@
 const mostSqueezes = 5
 
 // hand gives a connection to the loop, where OnOpen meets it. Where there is no descriptor for that, others have to go first.
-func (a *acceptor) hand(g guest) {
+func (a *acceptor) hand(g acceptedSocket) {
 	a.takeSpare()
 	c, err := connOf(g)
 	for n := 0; err != nil; n++ {
@@ -399,7 +399,7 @@
 }
 
 // connOf makes of a descriptor what gnet takes, beside it: so it is still there where a descriptor for that lacks.
-func connOf(g guest) (net.Conn, error) {
+func connOf(g acceptedSocket) (net.Conn, error) {
 	_ = unix.SetsockoptInt(g.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // slower without, no worse
 	fd, err := unix.FcntlInt(uintptr(g.fd), unix.F_DUPFD_CLOEXEC, 0)
 	if err != nil {
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -13,10 +13,10 @@
 	"swiftcourse/internal/wire/catalogue"
 )
 
-// lane is a connection to the catalogue. It carries one call at a time, so that whatever comes back spoilt,
+// pooledConn is a connection to the catalogue. It carries one call at a time, so that whatever comes back spoilt,
 // late or never costs that call alone, and no two calls of one task, so that a second copy of a reply, however
 // late, is never taken for that of the task's next call.
-type lane struct {
+type pooledConn struct {
 	link
 	server  *Server
 	call    *call    // on its way over it, or waiting for it to open
@@ -29,26 +29,26 @@
 
 // call is a call on its way.
 type call struct {
-	task  *memory.Task
-	lane  *lane // nil while it waits for one
-	began float64
-	until float64
-	reach reach
-	again bool // it was let out a second time, as its lane had been idle and broke
-	over  bool
+	task   *memory.Task
+	pooled *pooledConn // nil while it waits for one
+	began  float64
+	until  float64
+	reach  reach
+	again  bool // it was let out a second time, as its pooled connection had been idle and broke
+	over   bool
 }
 
-// lanes are the connections to the catalogue.
-type lanes struct {
-	all, idle []*lane // the latest idle one comes last, and is used first
-	waiting   []*call // for a lane, when there are as many as may be
-	lost      float64 // when it was last logged that one broke
+// connPool is the connections to the catalogue.
+type connPool struct {
+	all, idle []*pooledConn // the latest idle one comes last, and is used first
+	waiting   []*call       // for a pooled connection, when there are as many as may be
+	lost      float64       // when it was last logged that one broke
 }
 
 const (
-	// mostCarried bounds what a lane remembers of its calls; a dial for every 32nd call is not felt.
+	// mostCarried bounds what a pooled connection remembers of its calls; a dial for every 32nd call is not felt.
 	mostCarried = 32
-	// restFor is how long an idle lane is kept: the other side may forget it, and a call that finds that out
+	// restFor is how long an idle pooled connection is kept: the other side may forget it, and a call that finds that out
 	// is cut. It closes all after 10 s; under traffic the latest ones are used within a tenth of a second.
 	restFor = 1.0
 	// callGrace is how much longer than told we wait: the catalogue's own word proves as much and should win.
@@ -61,9 +61,9 @@
 	errUnasked = errors.New("more than was asked for")
 )
 
-// mostLanes is a quarter of the descriptors, as balancers may open half of them, and at most as many as a server of 1,024
+// maxPooled is a quarter of the descriptors, as balancers may open half of them, and at most as many as a server of 1,024
 // descriptors has: more calls than that are never in hand on one core.
-func (s *Server) mostLanes() int { return min(s.start.Sockets/4, 256) }
+func (s *Server) maxPooled() int { return min(s.start.Sockets/4, 256) }
 
 // call lets a task's call out.
 func (s *Server) call(t *memory.Task, wait float64) {
@@ -87,10 +87,10 @@
 	s.route(c)
 }
 
-// route gives a call an idle lane, or a new one; it waits where there are as many as may be. Where a second
-// effect would matter the lane is new: one that was idle may break in a way that tells nothing of the call.
+// route gives a call an idle pooled connection, or a new one; it waits where there are as many as may be. Where a second
+// effect would matter the pooled connection is new: one that was idle may break in a way that tells nothing of the call.
 func (s *Server) route(c *call) {
-	now, from := s.now(), &s.lanes
+	now, from := s.now(), &s.connPool
 	mayBreak := s.start.Site.Stages[c.task.Stage].Effect == choice.Idempotent && !c.again
 	for i := len(from.idle) - 1; i >= 0 && mayBreak; i-- {
 		l := from.idle[i]
@@ -101,28 +101,28 @@
 			return
 		}
 	}
-	if len(from.all) >= s.mostLanes() && len(from.idle) > 0 { // none of them will do
+	if len(from.all) >= s.maxPooled() && len(from.idle) > 0 { // none of them will do
 		from.idle[0].leave()
 	}
-	if len(from.all) >= s.mostLanes() {
+	if len(from.all) >= s.maxPooled() {
 		from.waiting = append(from.waiting, c)
 		return
 	}
-	l := &lane{server: s}
+	l := &pooledConn{server: s}
 	from.all = append(from.all, l)
 	l.carry(c)
 	l.giveUp = s.dial(toCatalogue, l, once)
 }
 
-func (l *lane) carry(c *call) {
-	l.call, c.lane = c, l
+func (l *pooledConn) carry(c *call) {
+	l.call, c.pooled = c, l
 	l.carried = append(l.carried, c.task.ID)
 	if l.conn != nil {
 		l.send()
 	}
 }
 
-func (l *lane) send() {
+func (l *pooledConn) send() {
 	s, c := l.server, l.call
 	c.reach = sent
 	s.scratch = catalogue.PutCall(s.scratch[:0], c.task.ID, c.until-s.now(), c.task.Ask)
@@ -142,12 +142,12 @@
 	s.happens(choice.Event{Kind: choice.CallDone, ID: c.task.ID, Outcome: outcome, Took: took})
 }
 
-// drop takes a call off that has no answer. Its lane ends with it, which gives the call up on the other side:
-// a lane that owes a reply may be dead.
+// drop takes a call off that has no answer. Its pooled connection ends with it, which gives the call up on the other side:
+// a pooled connection that owes a reply may be dead.
 func (s *Server) drop(c *call) {
 	c.over = true
 	delete(s.calls, c.task.ID)
-	if l := c.lane; l != nil {
+	if l := c.pooled; l != nil {
 		l.call = nil
 		l.leave()
 	}
@@ -160,8 +160,8 @@
 	}
 }
 
-// leave has a lane take no further call; one without a call closes.
-func (l *lane) leave() {
+// leave has a pooled connection take no further call; one without a call closes.
+func (l *pooledConn) leave() {
 	l.left = true
 	if l.call == nil {
 		l.remove()
@@ -173,10 +173,10 @@
 	}
 }
 
-// remove takes a lane out of the tables, and lets a call that waits have its place.
-func (l *lane) remove() {
-	s, from := l.server, &l.server.lanes
-	same := func(other *lane) bool { return other == l }
+// remove takes a pooled connection out of the tables, and lets a call that waits have its place.
+func (l *pooledConn) remove() {
+	s, from := l.server, &l.server.connPool
+	same := func(other *pooledConn) bool { return other == l }
 	n := len(from.all)
 	from.all = slices.DeleteFunc(from.all, same)
 	from.idle = slices.DeleteFunc(from.idle, same)
@@ -186,7 +186,7 @@
 }
 
 func (s *Server) routeWaiting() {
-	for w := &s.lanes.waiting; len(*w) > 0; {
+	for w := &s.connPool.waiting; len(*w) > 0; {
 		c := (*w)[0]
 		*w = (*w)[1:]
 		if !c.over {
@@ -196,16 +196,16 @@
 	}
 }
 
-// rest closes the lanes that were idle for long.
+// rest closes the pooled connections that were idle for long.
 func (s *Server) rest(now float64) {
-	for _, l := range slices.Clone(s.lanes.idle) {
+	for _, l := range slices.Clone(s.connPool.idle) {
 		if now-l.quiet > restFor {
 			l.leave()
 		}
 	}
 }
 
-func (l *lane) opened(c gnet.Conn, to string) error {
+func (l *pooledConn) opened(c gnet.Conn, to string) error {
 	l.stands(c, to)
 	if l.call == nil {
 		return errNoCall
@@ -214,7 +214,7 @@
 	return nil
 }
 
-func (l *lane) closed(err error) {
+func (l *pooledConn) closed(err error) {
 	s, c := l.server, l.call
 	l.shut(&s.pool)
 	l.left, l.call = true, nil
@@ -223,14 +223,14 @@
 		return // idle or left
 	}
 	now := s.now()
-	if now > s.lanes.lost+1 { // one line a second, however many are tried
-		s.lanes.lost = now
+	if now > s.connPool.lost+1 { // one line a second, however many are tried
+		s.connPool.lost = now
 		slog.Info("link_lost", "link", "catalogue", "rested_s", watch.Round(l.rested, 3),
 			"after_s", watch.Round(now-c.began, 3), "err", &attemptError{c.reach, err})
 	}
-	c.lane = nil
-	// A lane that had been idle and breaks before its reply was most likely forgotten on the other side. Only calls
-	// that may run twice go over such lanes, so the call goes out once more, over a new one.
+	c.pooled = nil
+	// A pooled connection that had been idle and breaks before its reply was most likely forgotten on the other side. Only calls
+	// that may run twice go over such pooled connections, so the call goes out once more, over a new one.
 	if l.rested > 0 && !c.again {
 		c.again, c.reach = true, unsent
 		s.route(c)
@@ -239,7 +239,7 @@
 	s.endCall(c, &attemptError{c.reach, err})
 }
 
-func (l *lane) take(b []byte) (n int, err error) {
+func (l *pooledConn) take(b []byte) (n int, err error) {
 	for n < len(b) && l.call != nil {
 		r, size, err := catalogue.Next(b[n:])
 		if err != nil || size == 0 {
@@ -260,8 +260,8 @@
 	return len(b), nil
 }
 
-// answered ends a call with its reply and frees the lane, first for a call that waits.
-func (l *lane) answered(c *call, r catalogue.Reply) {
+// answered ends a call with its reply and frees the pooled connection, first for a call that waits.
+func (l *pooledConn) answered(c *call, r catalogue.Reply) {
 	s := l.server
 	c.over, l.call, l.quiet = true, nil, s.now()
 	delete(s.calls, c.task.ID)
@@ -273,6 +273,6 @@
 		l.leave()
 		return
 	}
-	s.lanes.idle = append(s.lanes.idle, l)
+	s.connPool.idle = append(s.connPool.idle, l)
 	s.routeWaiting()
 }
--- a/internal/serve/guard.go
+++ b/internal/serve/guard.go
@@ -65,7 +65,7 @@
 		slog.Info("reload_ignores", "key", "door-prefix-ipv4, door-prefix-ipv6, door-lobby, door-remember")
 	}
 	if a := s.acceptor; a != nil && conf.Door {
-		a.regulars.Store(&regulars{conf.Known, a.regulars.Load().known})
+		a.knownClients.Store(&knownClients{conf.Known, a.knownClients.Load().known})
 	}
 }
 
@@ -124,5 +124,5 @@
 	slog.Info("door", "in", k.In, "most", k.Most, "lobby", s.door.Count(door.Lobby), "strangers_busy", k.BusyStrangers,
 		"turned_rate", s.door.Turned(door.OverRate), "turned_cap", s.door.Turned(door.OverCap), "turned_place", s.door.Turned(door.NoPlace),
 		"unheard", s.door.Turned(door.NoLobby), "tasks_turned", s.counts.turned, "addresses", k.Addresses,
-		"known", k.Known, "pace", watch.Round(s.door.Pace(s.now()), 0), "hurried", s.acceptor.hurried.Load(), "accepts_failed", s.acceptor.failed.Load())
+		"known", k.Known, "pace", watch.Round(s.door.Pace(s.now()), 0), "over_rate", s.acceptor.overRate.Load(), "accepts_failed", s.acceptor.failed.Load())
 }
--- a/internal/serve/guard_test.go
+++ b/internal/serve/guard_test.go
@@ -142,11 +142,11 @@
 		} // and the plain server
 		recovered := make(chan struct{}, 1) // it waits again, and takes nobody by the spare descriptor any more
 		w := buildWith(t, nil, door, func(s *Server) {
-			s.acceptBy = func(accept func() (guest, error)) func() (guest, error) {
-				return func() (guest, error) {
+			s.acceptBy = func(accept func() (acceptedSocket, error)) func() (acceptedSocket, error) {
+				return func() (acceptedSocket, error) {
 					if fails.Load() {
 						times.Add(1)
-						return guest{}, lack
+						return acceptedSocket{}, lack
 					}
 					if times.Load() > 0 {
 						select {
@@ -192,8 +192,8 @@
 // Accept fails for good as the server is told to leave: it ends all the same.
 func TestAServerWhoseAcceptFailsLeaves(t *testing.T) {
 	w := buildWith(t, func(s *life.Start) { s.Stop = 10 }, nil, func(s *Server) {
-		s.acceptBy = func(func() (guest, error)) func() (guest, error) {
-			return func() (guest, error) { return guest{}, syscall.ENFILE }
+		s.acceptBy = func(func() (acceptedSocket, error)) func() (acceptedSocket, error) {
+			return func() (acceptedSocket, error) { return acceptedSocket{}, syscall.ENFILE }
 		}
 	})
 	w.server.Leave()
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -60,8 +60,8 @@
 func TestWhoWaitsToBeAcceptedHasAnAnswer(t *testing.T) {
 	gate := make(chan struct{}, 1)
 	w := buildWith(t, func(s *life.Start) { s.Stop, s.Site.Cores = 20, 4 }, nil, func(s *Server) {
-		s.acceptBy = func(accept func() (guest, error)) func() (guest, error) {
-			return func() (guest, error) {
+		s.acceptBy = func(accept func() (acceptedSocket, error)) func() (acceptedSocket, error) {
+			return func() (acceptedSocket, error) {
 				<-gate
 				return accept()
 			}
@@ -150,7 +150,7 @@
 	}
 }
 
-// A server that is over dials nobody any more, nor does a lane whose call is over.
+// A server that is over dials nobody any more, nor does a pooled connection whose call is over.
 func TestDialsEndWithWhatTheyAreFor(t *testing.T) {
 	s := New(&life.Start{Addresses: life.Addresses{Processor: "127.0.0.9:1"}}, nil) // where nothing listens
 	l := listen(t)
@@ -235,7 +235,7 @@
 	w.processor.ask(1, "a1", "c")
 	accept(t, w.catalogues).expect("\r\nc\r\n")
 	w.onLoop(func(s *Server) {
-		for name, c := range map[string]gnet.Conn{"balancer": s.peers.At(0).conn, "processor": s.processor.conn, "catalogue": s.lanes.all[0].conn} {
+		for name, c := range map[string]gnet.Conn{"balancer": s.peers.At(0).conn, "processor": s.processor.conn, "catalogue": s.connPool.all[0].conn} {
 			if on, err := unix.GetsockoptInt(c.Fd(), unix.IPPROTO_TCP, unix.TCP_NODELAY); on == 0 || err != nil {
 				t.Errorf("%s: %d, %v", name, on, err)
 			}
--- a/internal/serve/link.go
+++ b/internal/serve/link.go
@@ -67,26 +67,26 @@
 // dialFor bounds one dial: on one machine or its network an answer takes far less.
 const dialFor = time.Second
 
-// book is where the other parties are; its context ends, with the dials under way, when they move.
-type book struct {
+// endpoints is where the other parties are; its context ends, with the dials under way, when they move.
+type endpoints struct {
 	life.Addresses
 	ctx  context.Context
 	burn context.CancelFunc
 }
 
-func newBook(living context.Context, a life.Addresses) *book {
+func newEndpoints(living context.Context, a life.Addresses) *endpoints {
 	ctx, burn := context.WithCancel(living)
-	return &book{a, ctx, burn}
+	return &endpoints{a, ctx, burn}
 }
 
-func toProcessor(b *book) string { return b.Processor }
-func toCatalogue(b *book) string { return b.Catalogue }
-func toRoster(b *book) string    { return b.Roster }
+func toProcessor(b *endpoints) string { return b.Processor }
+func toCatalogue(b *endpoints) string { return b.Catalogue }
+func toRoster(b *endpoints) string    { return b.Roster }
 
 // Move tells the server, from any goroutine, where the other parties are now. Nothing new goes to where they
 // were; calls in hand may still end there.
 func (s *Server) Move(to life.Addresses) {
-	s.book.Swap(newBook(s.living, to)).burn()
+	s.endpoints.Swap(newEndpoints(s.living, to)).burn()
 	go func() {
 		select {
 		case <-s.looping:
@@ -101,14 +101,14 @@
 }
 
 func (s *Server) move() {
-	b := s.book.Load()
+	b := s.endpoints.Load()
 	if l := s.processor; l.conn != nil && l.to != b.Processor {
 		l.leave()
 	}
 	if r := s.roster; r.conn != nil && r.to != b.Roster {
 		r.leave(errMoved)
 	}
-	for _, l := range slices.Clone(s.lanes.all) {
+	for _, l := range slices.Clone(s.connPool.all) {
 		if l.conn != nil && l.to != b.Catalogue {
 			l.leave()
 		}
@@ -117,8 +117,8 @@
 
 // dialled is a connection that we opened, on its way to the loop.
 type dialled struct {
-	party
-	link func(*book) string
+	connHandler
+	link func(*endpoints) string
 	to   string
 	vain int
 }
@@ -127,7 +127,7 @@
 
 // dial opens a connection and hands it to the loop, where p meets it, and goes on until it succeeds or the server is over. vain counts
 // the links before that led nowhere; with once there is one dial, and p.closed hears if it leads nowhere. What it returns gives it up.
-func (s *Server) dial(link func(*book) string, p party, vain int) (giveUp func()) {
+func (s *Server) dial(link func(*endpoints) string, p connHandler, vain int) (giveUp func()) {
 	loop := s.loop
 	return s.dialBy(func(ctx context.Context) (<-chan gnet.RegisteredResult, error) {
 		c, _ := gnet.FromNetConnContext(ctx)
@@ -138,7 +138,7 @@
 type register func(context.Context) (<-chan gnet.RegisteredResult, error)
 
 // dialBy is dial where the loop is not known yet. The engine's own register is not made for two at once.
-func (s *Server) dialBy(hand register, link func(*book) string, p party, vain int) (giveUp func()) {
+func (s *Server) dialBy(hand register, link func(*endpoints) string, p connHandler, vain int) (giveUp func()) {
 	ctx, giveUp := context.WithCancel(s.living)
 	go func() {
 		defer giveUp()
@@ -148,7 +148,7 @@
 }
 
 // dialOn is dialBy on the caller's goroutine, until ctx is over.
-func (s *Server) dialOn(ctx context.Context, hand register, link func(*book) string, p party, vain int) {
+func (s *Server) dialOn(ctx context.Context, hand register, link func(*endpoints) string, p connHandler, vain int) {
 	for n := vain; ; n++ {
 		select {
 		case <-time.After(pause(s.start.Seed, n)):
@@ -157,7 +157,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		b := s.book.Load()
+		b := s.endpoints.Load()
 		addr := link(b)
 		c, err := dialOnce(ctx, b.ctx, addr)
 		switch {
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -31,7 +31,7 @@
 
 const (
 	mostOpen = 32 // tasks on one connection, by the protocol
-	// spareSockets are kept from balancers and lanes: the links, the listener, the runtime's own, and a second
+	// spareSockets are kept from balancers and pooled connections: the links, the listener, the runtime's own, and a second
 	// descriptor for each of some dials while the loop takes them over.
 	spareSockets = 32
 	sweepEvery   = 0.5
@@ -47,7 +47,7 @@
 // mostPeers is how many connections balancers may hold, and what bounds it: what is left of the descriptors, which is over half, as
 // balancers may open that; or memory.
 func (s *Server) mostPeers() (most int, by string) {
-	most, by = s.start.Sockets-spareSockets-s.mostLanes(), "descriptors"
+	most, by = s.start.Sockets-spareSockets-s.maxPooled(), "descriptors"
 	if n := int(s.start.Memory / 4 / idleCost); n < most && s.start.Memory > 0 {
 		return n, "memory"
 	}
@@ -385,7 +385,7 @@
 	s.counts.parted++
 }
 
-// sweep drops kept entries that have run out, lets idle lanes rest, and ends the connection that reads least where all
+// sweep drops kept entries that have run out, lets idle pooled connections rest, and ends the connection that reads least where all
 // together leave too much unread.
 func (s *Server) sweep() {
 	now := s.now()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -30,10 +30,10 @@
 // Server is one real server.
 type Server struct {
 	gnet.BuiltinEventEngine
-	start  *life.Start
-	book   atomic.Pointer[book] // where the other parties are, for the goroutines that dial too
-	anchor time.Time            // when the clock was set, by the Unix clock's unix seconds
-	unix   float64
+	start     *life.Start
+	endpoints atomic.Pointer[endpoints] // where the other parties are, for the goroutines that dial too
+	anchor    time.Time                 // when the clock was set, by the Unix clock's unix seconds
+	unix      float64
 
 	first   register // hands the first link to the loop
 	ticked  bool     // by gnet's ticker, which alone looks at it
@@ -60,7 +60,7 @@
 	lobby     int        // places in it, as the operator's file says
 	conf      *life.Conf // the operator's file, with what was released
 	spareOpen memory.Shelf
-	acceptBy  func(accept func() (guest, error)) func() (guest, error) // for tests, in which accept fails
+	acceptBy  func(accept func() (acceptedSocket, error)) func() (acceptedSocket, error) // for tests, in which accept fails
 	acceptor  *acceptor
 	finished  chan struct{}   // closed at the end, for the acceptor
 	living    context.Context // done then, for dials
@@ -72,7 +72,7 @@
 	sweeping  func()     // sweep and count, made once for all their timers
 	counting  func()
 	processor *processorLink
-	lanes     lanes
+	connPool  connPool
 	calls     map[string]*call // by the task they are made for
 	roster    *rosterLink
 
@@ -121,7 +121,7 @@
 	s.conf = conf
 	s.door = s.newDoor(conf)
 	s.living, s.endLife = context.WithCancel(context.Background())
-	s.book.Store(newBook(s.living, start.Addresses))
+	s.endpoints.Store(newEndpoints(s.living, start.Addresses))
 	s.run = gnet.RunnableFunc(func(context.Context) error { return s.turn() })
 	s.sweeping, s.counting = s.sweep, s.count
 	s.processor = &processorLink{server: s}
@@ -147,8 +147,8 @@
 	return time.Hour, gnet.None
 }
 
-// party is who is at the other end of a connection.
-type party interface {
+// connHandler is who is at the other end of a connection.
+type connHandler interface {
 	opened(c gnet.Conn, to string) error // to is where we dialled it, "" where it was opened to us
 	take(b []byte) (int, error)          // reads whole messages off the start of b, and tells how much that was
 	closed(err error)
@@ -167,15 +167,15 @@
 		}
 		close(s.looping)
 	}
-	var p party
+	var p connHandler
 	to := ""
 	if d, ours := c.Context().(*dialled); ours {
-		c.SetContext(d.party)
-		if d.link(s.book.Load()) != d.to { // moved meanwhile
-			s.dial(d.link, d.party, d.vain)
+		c.SetContext(d.connHandler)
+		if d.link(s.endpoints.Load()) != d.to { // moved meanwhile
+			s.dial(d.link, d.connHandler, d.vain)
 			return nil, gnet.Close
 		}
-		p, to = d.party, d.to
+		p, to = d.connHandler, d.to
 	} else {
 		if a, byUs := c.Context().(*acceptor); byUs {
 			<-a.pending
@@ -197,7 +197,7 @@
 // OnTraffic reads what has come on a connection.
 func (s *Server) OnTraffic(c gnet.Conn) (action gnet.Action) {
 	defer s.guard(c, &action)
-	p, ok := c.Context().(party)
+	p, ok := c.Context().(connHandler)
 	if !ok || !p.has(c) {
 		return gnet.Close
 	}
@@ -227,7 +227,7 @@
 // OnClose parts with a connection.
 func (s *Server) OnClose(c gnet.Conn, err error) (action gnet.Action) {
 	defer s.guard(c, &action)
-	if p, ok := c.Context().(party); ok && p.has(c) {
+	if p, ok := c.Context().(connHandler); ok && p.has(c) {
 		p.closed(err)
 	}
 	return gnet.None
@@ -440,7 +440,7 @@
 		"unread_ms", watch.Round(1000*c.unread/max(1, float64(c.read)), 1),
 		"longest_ms", watch.Round(1000*c.longest, 1), "open", s.tasks.Open(), "tasks", s.tasks.Len(),
 		"kept", s.kept.Len(), "conns", s.peers.Len(), "strangers", s.door.Count(door.Stranger),
-		"parting", s.door.Count(door.Parting), "most_conns", most, "most_by", by, "lanes", len(s.lanes.all),
+		"parting", s.door.Count(door.Parting), "most_conns", most, "most_by", by, "pooled_conns", len(s.connPool.all),
 		"parted", c.parted, "evicted", c.evicted, "unspoken", c.unspoken,
 		"gauge_ms", watch.Round(1000*c.gaugeAge, 1), "blind", c.blind, "timers", s.timers.Len(),
 		"buffers", s.pool.Out, "memory_kb", residentKB(), "heap_kb", liveKB(), "well", s.isWell(), "load", s.say.Free)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -318,27 +318,27 @@
 	one.expect("FETCH a3 ") // what kept to the order is used again
 }
 
-func TestACallOverAForgottenLaneGoesOutOnceMore(t *testing.T) {
+func TestACallOverAForgottenConnectionGoesOutOnceMore(t *testing.T) {
 	w := build(t, nil)
 	b := w.balancer()
-	var lane *end
+	var pooled *end
 	for i, task := range []string{"a1", "a2"} {
 		b.send("%s", frame(byte(i+1), task, "x"))
 		w.processor.wants("begin", task)
 		w.processor.ask(2*i+1, task, "c")
 		if i == 0 {
-			lane = accept(t, w.catalogues)
+			pooled = accept(t, w.catalogues)
 		}
-		lane.expect("FETCH " + task)
-		lane.expect("\r\nc\r\n")
+		pooled.expect("FETCH " + task)
+		pooled.expect("\r\nc\r\n")
 		if i == 1 { // had been idle, and turns out to be forgotten
-			_ = lane.Conn.(*net.TCPConn).SetLinger(0)
-			lane.Close()
-			lane = accept(t, w.catalogues)
-			lane.expect("FETCH " + task)
-			lane.expect("\r\nc\r\n")
+			_ = pooled.Conn.(*net.TCPConn).SetLinger(0)
+			pooled.Close()
+			pooled = accept(t, w.catalogues)
+			pooled.expect("FETCH " + task)
+			pooled.expect("\r\nc\r\n")
 		}
-		lane.send("%s DATA 1\r\nd\r\n", task)
+		pooled.send("%s DATA 1\r\nd\r\n", task)
 		w.processor.wants("answer", task)
 		w.processor.complete(2*i+2, task, "done", "r")
 		b.expect(finished + "\x01r\x80")
@@ -353,24 +353,24 @@
 	}
 }
 
-func TestCallsWaitForALane(t *testing.T) {
+func TestCallsWaitForAPooledConnection(t *testing.T) {
 	w := build(t, func(s *life.Start) { s.Sockets, s.Site.Cores = 64, 32 })
 	b := w.balancer()
-	most := w.server.mostLanes()
+	most := w.server.maxPooled()
 	for i := range most + 1 {
 		task := fmt.Sprintf("a%d", i)
 		b.send("%s", frame(byte(i+1), task, "x"))
 		w.processor.wants("begin", task)
 		w.processor.ask(i+1, task, "c")
 	}
-	lane := accept(t, w.catalogues)
+	pooled := accept(t, w.catalogues)
 	for range most - 1 {
 		accept(t, w.catalogues).expect("\r\nc\r\n")
 	}
-	task := strings.Fields(lane.expect("\r\nc\r\n"))[1]
-	lane.send("%s DATA 1\r\nd\r\n", task)
+	task := strings.Fields(pooled.expect("\r\nc\r\n"))[1]
+	pooled.send("%s DATA 1\r\nd\r\n", task)
 	w.processor.wants("answer", task)
-	lane.expect(fmt.Sprintf("FETCH a%d ", most))
+	pooled.expect(fmt.Sprintf("FETCH a%d ", most))
 }
 
 func TestAbandonedAtItsDueMomentAndAnsweredOnce(t *testing.T) {
@@ -962,13 +962,13 @@
 			}
 		}
 	}()
-	var got, want = "", "0 tasks, 0 kept, 0 calls, 0 lanes, 0 peers, 0 buffers, 0 events"
+	var got, want = "", "0 tasks, 0 kept, 0 calls, 0 pooled connections, 0 peers, 0 buffers, 0 events"
 	for end := time.Now().Add(patience); got != want && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		told := make(chan string)
 		_ = w.server.loop.Execute(t.Context(), gnet.RunnableFunc(func(context.Context) error {
 			s := w.server
-			told <- fmt.Sprintf("%d tasks, %d kept, %d calls, %d lanes, %d peers, %d buffers, %d events", s.tasks.Len(),
-				s.kept.Len(), len(s.calls), len(s.lanes.all)+len(s.lanes.waiting), s.peers.Len(), s.pool.Out, len(s.events))
+			told <- fmt.Sprintf("%d tasks, %d kept, %d calls, %d pooled connections, %d peers, %d buffers, %d events", s.tasks.Len(),
+				s.kept.Len(), len(s.calls), len(s.connPool.all)+len(s.connPool.waiting), s.peers.Len(), s.pool.Out, len(s.events))
 			if n := s.timers.Len(); n > 10 {
 				told <- fmt.Sprint(n, " timers")
 			}
