--- a/choice/choice.go
+++ b/choice/choice.go
@@ -188,10 +188,10 @@
 	cores, crowd, coldFrom, coldFor            float64 // coldFor is 0 where it was born warm
 	memoryLimit, runFactor, keyMemory          float64
 	drainGrace, overShare, reuseFor, adviceMax float64
-	leastCalls, mostCalls, callMost            float64
+	leastCalls, maxCalls, maxCallTime          float64
 	callsBound                                 float64 // calls out whatever else is so: a part of a budget
 	callLinger, creditFull, patience           float64 // patience is a sixth of the shortest due time
-	callers, idleMost, idle, rest              float64 // idle: connections silent for so long are closed
+	callers, maxIdle, idle, rest               float64 // idle: connections silent for so long are closed
 	tellsWait, byWork, tier                    bool
 	stopping                                   Stopping
 	free                                       Free
@@ -227,20 +227,21 @@
 		runFactor: max(1, site.RunFactor), keyMemory: site.KeyMemory, drainGrace: site.DrainGrace,
 		overShare: site.OverShare, callLinger: site.CallLinger, stopping: site.Stopping, free: site.Free,
 		reuseFor: site.ReuseFor, tellsWait: site.TellsWait, byWork: site.UtilityByWork, typical: 0.25,
-		callMost: math.Inf(1), tier: site.Below == Tier, patience: math.Inf(1), gauges: Gauges{Runnable: -1},
+		maxCallTime: math.Inf(1), tier: site.Below == Tier, patience: math.Inf(1),
+		gauges:     Gauges{Runnable: -1},
 		callsBound: math.Inf(1),
-		callers:    float64(site.Callers), idleMost: site.Idle, idle: site.Idle, rest: 1,
+		callers:    float64(site.Callers), maxIdle: site.Idle, idle: site.Idle, rest: 1,
 		share: 1, shareTold: 1, armed: math.Inf(1), drainAt: math.Inf(1), killAt: math.Inf(1),
 	}
 	s.creditFull = 16 * s.cores / max(1, float64(site.Callers)) // no limit in use, spread over the callers
 	// A tier has its own guard: only a flood is kept from it. A shared dependency gets sluggish long
 	// before it falls: a quarter of the share is let out however slow it is, and never all of it, as
 	// calls of the dead and those whose end is not known yet count too.
-	s.leastCalls, s.mostCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
+	s.leastCalls, s.maxCalls, s.callCap = s.cores, 16*s.cores, 2*s.cores
 	if site.Below == Shared {
-		s.leastCalls, s.mostCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
+		s.leastCalls, s.maxCalls, s.callCap = site.CallShare/4, 0.8*site.CallShare, site.CallShare/2
 		// Where one call is over the share it must be short, to keep the window's mean.
-		s.callMost = site.CallShare * site.CallFor / 4
+		s.maxCallTime = site.CallShare * site.CallFor / 4
 	}
 	for _, st := range site.Stages {
 		s.stages = append(s.stages, stage{Stage: st, runs: 1})
@@ -498,7 +499,7 @@
 // read and turned away a handshake and a read. That guards against storms of retries and also meets bursts
 // and slow cores; it may hurt where those kept out bring what pays best.
 func (s *Server) tuneIdle() {
-	idle := s.idleMost
+	idle := s.maxIdle
 	if s.gap*s.callers > 8 { // both cost about the same near 5 s, where some tens of callers share a server
 		idle = 0.05 // the shortest that was tried, and the best on busy days
 	}
@@ -507,7 +508,7 @@
 	} else {
 		s.rest = max(1, s.rest/1.03)
 	}
-	idle = min(s.idleMost, idle*s.rest)
+	idle = min(s.maxIdle, idle*s.rest)
 	if idle > 1.2*s.idle || idle < s.idle/1.2 { // smaller steps would only add messages
 		s.idle = idle
 		s.act(Action{Kind: Idle, For: idle})
@@ -713,7 +714,7 @@
 	case s.n(atCall) > 0:
 		s.callCap *= 1.05
 	}
-	s.callCap = min(max(s.leastCalls, min(s.callCap, s.mostCalls)), s.callsBound)
+	s.callCap = min(max(s.leastCalls, min(s.callCap, s.maxCalls)), s.callsBound)
 }
 
 // slow tells that calls take twice what they lately took at best.
@@ -795,7 +796,7 @@
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
 		Flag: t.over || s.lag > s.patience || s.share < 0.4 ||
-			s.share < 0.95 && !s.bySubject && s.idle < s.idleMost})
+			s.share < 0.95 && !s.bySubject && s.idle < s.maxIdle})
 }
 
 func (s *Server) forget(t *task) {
@@ -818,7 +819,7 @@
 // invoke lets a call out with the time left less the slush. Exception: in a tier that is not slow, four mean
 // calls where twice that is left and it may go again: a server there that died unseen would hold it for all.
 func (s *Server) invoke(t *task) {
-	lasts, first := min(t.dueAt-s.now-slush, s.callMost), 4*s.call.mean
+	lasts, first := min(t.dueAt-s.now-slush, s.maxCallTime), 4*s.call.mean
 	if s.tier && t.stage.Effect == Idempotent && s.call.all.N >= 20 && !s.slow() && lasts > 2*first {
 		lasts = first
 	}
--- a/cmd/swiftcourse-fleet/main.go
+++ b/cmd/swiftcourse-fleet/main.go
@@ -130,7 +130,7 @@
 		slog.Info("fleet_counts", "keepers", len(voters))
 	}
 	if callers != nil {
-		server.Vouch(f.Earned, replica.MostEarned)
+		server.Vouch(f.Earned, replica.MaxEarned)
 	}
 	if own.FleetControl != "" {
 		if _, err := f.Control(own.FleetControl); err != nil {
@@ -159,7 +159,7 @@
 }
 
 func memberTerms(own *life.Conf) member.Terms {
-	return member.Terms{Lease: own.FleetLease.Seconds(), Behind: own.FleetBehind.Seconds(), MostOut: float64(own.FleetMostOut), Forget: own.FleetForget.Seconds()}
+	return member.Terms{Lease: own.FleetLease.Seconds(), Behind: own.FleetBehind.Seconds(), MaxOut: float64(own.FleetMostOut), Forget: own.FleetForget.Seconds()}
 }
 
 func rollout(own *life.Conf) version.Rollout {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -53,10 +53,10 @@
 }
 
 const (
-	// mostInbox events wait for the owner. A task that finds no room has not left.
-	mostInbox = 8192
-	// mostTries are out at a time.
-	mostTries = 16384
+	// maxInbox events wait for the owner. A task that finds no room has not left.
+	maxInbox = 8192
+	// maxTries are out at a time.
+	maxTries = 16384
 	// lateAfter is how long beyond its time a worker's answer is waited for: the slush of a hop.
 	lateAfter = 0.010
 	// learnEvery is how often it is worked out what workers do, in seconds: some tens of tasks at each.
@@ -113,7 +113,7 @@
 // Start begins to dial all workers.
 func Start(shape Shape) *Dispatcher {
 	now := shape.Now()
-	d := &Dispatcher{Shape: shape, inbox: make(chan event, mostInbox), quit: make(chan struct{}), router: route.New(uint64(shape.Seed)), links: map[string]*link{},
+	d := &Dispatcher{Shape: shape, inbox: make(chan event, maxInbox), quit: make(chan struct{}), router: route.New(uint64(shape.Seed)), links: map[string]*link{},
 		tries: map[string]*try{}, demand: map[string]float64{}, since: now, told: now, learned: now}
 	d.router.Cold(shape.ColdFrom, shape.ColdFor)
 	for range shape.Stages {
@@ -239,7 +239,7 @@
 // begin places a task that came.
 func (d *Dispatcher) begin(now float64, out *Out) {
 	d.counts.begun++
-	if d.tries[out.ID] != nil || len(d.tries) >= mostTries {
+	if d.tries[out.ID] != nil || len(d.tries) >= maxTries {
 		d.backs = append(d.backs, Back{ID: out.ID, Outcome: choice.Bounced})
 		return
 	}
--- a/internal/forward/link.go
+++ b/internal/forward/link.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// mostLine messages wait to be written to a worker that does not read: some hundred tasks.
-	mostLine = 256
-	// dialFor bounds one dial, redial is the wait between two, doubled up to mostRedial.
-	dialFor    = time.Second
-	redial     = 20 * time.Millisecond
-	mostRedial = 500 * time.Millisecond
-	// mostRead bounds what of one message may wait to be whole.
-	mostRead = 64 << 10
+	// maxLine messages wait to be written to a worker that does not read: some hundred tasks.
+	maxLine = 256
+	// dialFor bounds one dial, redial is the wait between two, doubled up to maxRedial.
+	dialFor   = time.Second
+	redial    = 20 * time.Millisecond
+	maxRedial = 500 * time.Millisecond
+	// maxRead bounds what of one message may wait to be whole.
+	maxRead = 64 << 10
 )
 
 // link is the way to one worker: connections that follow one another. Its fields after the first group are the owner's alone; the goroutines of a
@@ -54,10 +54,10 @@
 				return
 			case <-time.After(pause):
 			}
-			pause = min(2*pause, mostRedial)
+			pause = min(2*pause, maxRedial)
 			continue
 		}
-		c := &conn{raw: raw, out: make(chan []byte, mostLine), done: make(chan struct{})}
+		c := &conn{raw: raw, out: make(chan []byte, maxLine), done: make(chan struct{})}
 		go c.write()
 		l.tell(c, true)
 		if l.read(c) { // it had something to say: the next dial is at once
@@ -136,7 +136,7 @@
 		at := 0
 		for at < len(b) {
 			a, size, err := rpc.NextAnswer(b[at:])
-			if err != nil || size == 0 && len(b)-at > mostRead {
+			if err != nil || size == 0 && len(b)-at > maxRead {
 				return spoke
 			}
 			if size == 0 {
--- a/internal/judge/audit/audit.go
+++ b/internal/judge/audit/audit.go
@@ -35,12 +35,12 @@
 }
 
 const (
-	// mostIntervals of a life are kept: two a release, so thirty releases; the audit says where older ones are gone.
-	mostIntervals = 64
-	// mostLives of a name are kept: the present one and what is needed to see what one before did.
-	mostLives = 4
-	// mostNames is as many as the order has.
-	mostNames = 4096
+	// maxIntervals of a life are kept: two a release, so thirty releases; the audit says where older ones are gone.
+	maxIntervals = 64
+	// maxLives of a name are kept: the present one and what is needed to see what one before did.
+	maxLives = 4
+	// maxNames is as many as the order has.
+	maxNames = 4096
 	// BriefIntervals are told unasked, so that others have the last of a server that dies.
 	BriefIntervals = 4
 )
@@ -59,7 +59,7 @@
 // Begin tells that the server acts on a version from now on.
 func (b *Book) Begin(now float64, epoch version.Epoch, digest, why string) {
 	b.Count(now, 0, 0)
-	if n := len(b.own.Intervals); n >= mostIntervals {
+	if n := len(b.own.Intervals); n >= maxIntervals {
 		b.own.Intervals = slices.Delete(b.own.Intervals, 0, 1)
 		b.own.Dropped++
 	}
@@ -76,7 +76,7 @@
 }
 
 // Own is the whole account of this life.
-func (b *Book) Own() Account { return clone(b.own, mostIntervals) }
+func (b *Book) Own() Account { return clone(b.own, maxIntervals) }
 
 // Brief is the account's latest part.
 func (b *Book) Brief() Account { return clone(b.own, BriefIntervals) }
@@ -93,19 +93,19 @@
 // Hear takes an account from its server or from somebody who heard it. What is known stays; of two tellings of one life the later one adds
 // to the earlier, so that a brief one loses nothing.
 func (b *Book) Hear(a Account) {
-	if a.Name == b.own.Name && a.Life == b.own.Life || a.Name == "" || len(a.Intervals) > mostIntervals ||
+	if a.Name == b.own.Name && a.Life == b.own.Life || a.Name == "" || len(a.Intervals) > maxIntervals ||
 		!slices.IsSortedFunc(a.Intervals, func(x, y Interval) int { return cmp.Compare(x.N, y.N) }) {
 		return
 	}
 	lives, known := b.others[a.Name]
-	if !known && len(b.others) >= mostNames {
+	if !known && len(b.others) >= maxNames {
 		return
 	}
 	if i := slices.IndexFunc(lives, func(o Account) bool { return o.Life == a.Life }); i >= 0 {
 		lives[i] = join(lives[i], a)
 		return
 	}
-	if len(lives) >= mostLives { // the one heard longest ago, by its own clock
+	if len(lives) >= maxLives { // the one heard longest ago, by its own clock
 		oldest := slices.IndexFunc(lives, func(o Account) bool {
 			return o.Seen == slices.MinFunc(lives, func(a, b Account) int { return cmp.Compare(a.Seen, b.Seen) }).Seen
 		})
@@ -114,7 +114,7 @@
 		}
 		lives = slices.Delete(lives, oldest, oldest+1)
 	}
-	b.others[a.Name] = append(lives, clone(a, mostIntervals))
+	b.others[a.Name] = append(lives, clone(a, maxIntervals))
 }
 
 // join puts two tellings of one life together: every interval that one of them has, as it was told last. It does not matter which came first, nor
@@ -145,7 +145,7 @@
 	if n := len(joined.Intervals); n > 0 {
 		joined.Dropped = joined.Intervals[n-1].N + 1 - uint64(n)
 	}
-	return clone(joined, mostIntervals)
+	return clone(joined, maxIntervals)
 }
 
 // Heard is what is known of names, all lives, as it was heard; nil asks for all.
@@ -155,7 +155,7 @@
 	}
 	for _, name := range names {
 		for _, a := range b.others[name] {
-			list = append(list, clone(a, mostIntervals))
+			list = append(list, clone(a, maxIntervals))
 		}
 	}
 	return list
--- a/internal/judge/audit/audit_test.go
+++ b/internal/judge/audit/audit_test.go
@@ -75,26 +75,26 @@
 
 func TestTheBookIsBounded(t *testing.T) {
 	b := NewBook("me", 1, 0)
-	for i := range 3 * mostIntervals {
+	for i := range 3 * maxIntervals {
 		b.Begin(float64(i), version.Epoch(i+1), "d", "")
 	}
-	if own := b.Own(); len(own.Intervals) != mostIntervals || own.Dropped != 2*mostIntervals {
+	if own := b.Own(); len(own.Intervals) != maxIntervals || own.Dropped != 2*maxIntervals {
 		t.Errorf("%d kept, %d dropped", len(own.Intervals), own.Dropped)
 	}
 	for life := range uint64(10) {
 		b.Hear(Account{Name: "n", Life: life + 1, Seen: float64(life)})
 	}
-	if heard := b.Heard(nil); len(heard) != mostLives || heard[len(heard)-1].Life != 10 {
+	if heard := b.Heard(nil); len(heard) != maxLives || heard[len(heard)-1].Life != 10 {
 		t.Errorf("%d lives of one name, %+v", len(heard), heard)
 	}
-	for i := range mostNames + 100 {
+	for i := range maxNames + 100 {
 		b.Hear(Account{Name: "n" + strings.Repeat("x", i%100) + string(rune('0'+i/100)), Life: 1})
 	}
-	if len(b.others) > mostNames {
+	if len(b.others) > maxNames {
 		t.Errorf("%d names", len(b.others))
 	}
 	b.Forget(func(name string) bool { return name == "n" })
-	if heard := b.Heard(nil); len(heard) != mostLives {
+	if heard := b.Heard(nil); len(heard) != maxLives {
 		t.Errorf("%d accounts are left", len(heard))
 	}
 }
--- a/internal/judge/door/door.go
+++ b/internal/judge/door/door.go
@@ -116,20 +116,20 @@
 	heedSoon = 0.1
 
 	// Verdicts come in slices, so that connections that fell idle together hold up no answer: a slice every millisecond, the least
-	// that a timer of the Go runtime can wait, of mostASlice. Four at some 10 us each add 40 us at most to an answer
+	// that a timer of the Go runtime can wait, of maxASlice. Four at some 10 us each add 40 us at most to an answer
 	// that is ready; 4,000 a second are a tenth of a core with all that follows from them, which docs/idle.md
 	// measures. It may hurt where more than that come and go each second, whose connections then stay a little longer.
-	mostASlice = 4
+	maxASlice  = 4
 	sliceEvery = 0.001
 	// lobbyFor is how long one that was turned away has for its first message: that follows its connection at once, and a
 	// place in the lobby is a descriptor. What comes later crosses its close.
 	lobbyFor = 0.25
 	// turnedFor leaves the turn in which its answer is written; the next one may close it.
 	turnedFor = 0.0005
-	// mostLobby is mostASlice for the lobby, where each verdict follows an arrival and so is no burst of our own making.
-	mostLobby = 64
-	// mostLeaving is mostASlice for a server that leaves, whose tasks have all been answered.
-	mostLeaving = 128
+	// maxLobby is maxASlice for the lobby, where each verdict follows an arrival and so is no burst of our own making.
+	maxLobby = 64
+	// maxLeaving is maxASlice for a server that leaves, whose tasks have all been answered.
+	maxLeaving = 128
 )
 
 // record is what is known of one connection; 48 bytes.
@@ -279,9 +279,9 @@
 	if now < d.slice {
 		return nil
 	}
-	most, rest := mostASlice, 0
+	most, rest := maxASlice, 0
 	if d.leaving {
-		most = mostLeaving
+		most = maxLeaving
 	}
 	for _, s := range judged {
 		over := Due
@@ -290,7 +290,7 @@
 		}
 		for now >= d.due(s) {
 			if s == Lobby || s == Turned {
-				if len(d.said) == mostLobby {
+				if len(d.said) == maxLobby {
 					break
 				}
 			} else if rest++; rest > most {
--- a/internal/judge/door/door_test.go
+++ b/internal/judge/door/door_test.go
@@ -297,7 +297,7 @@
 	asked, at := 0, d.Next()
 	for ; asked < n; at = d.Next() {
 		got := d.Due(at)
-		if len(got) == 0 || len(got) > mostASlice {
+		if len(got) == 0 || len(got) > maxASlice {
 			t.Fatalf("%d verdicts at %v", len(got), at)
 		}
 		for _, v := range got {
--- a/internal/judge/door/guard.go
+++ b/internal/judge/door/guard.go
@@ -52,8 +52,8 @@
 	burst = 2
 	// earnEvery is how often, in seconds, a finished task counts for its address: so being known takes time, and a burst of tasks does not buy it.
 	earnEvery = 1
-	// mostCredit bounds what is earned, so that what was known for days is forgotten in hours.
-	mostCredit = 64
+	// maxCredit bounds what is earned, so that what was known for days is forgotten in hours.
+	maxCredit = 64
 	// turnedHalf is the half life, in seconds, of what an address was turned away; each time doubles its advice, up to the most.
 	turnedHalf = 5
 	// yieldAfter is how long, in seconds, one must have been silent to go for another whose address would then hold as many.
@@ -444,7 +444,7 @@
 	if e.credit > 0 && now-e.earnedAt < earnEvery {
 		return
 	}
-	e.credit = min(mostCredit, halved(e.credit, g.Forget, now-e.earnedAt)+1)
+	e.credit = min(maxCredit, halved(e.credit, g.Forget, now-e.earnedAt)+1)
 	e.earnedAt = now
 	if !e.known && e.credit >= float64(g.Earn)-0.5 { // the first ones have decayed a little
 		g.know(at, true)
--- a/internal/judge/member/ledger.go
+++ b/internal/judge/member/ledger.go
@@ -9,10 +9,10 @@
 
 // Terms are what the operator set for all.
 type Terms struct {
-	Lease   float64 // seconds
-	Behind  float64 // seconds in which one that is not on its version has to get there before it is shut out
-	MostOut float64 // part of the fleet that may be off the roster for want of talk, or as it is late
-	Forget  float64 // seconds after which a name that says nothing is nobody's
+	Lease  float64 // seconds
+	Behind float64 // seconds in which one that is not on its version has to get there before it is shut out
+	MaxOut float64 // part of the fleet that may be off the roster for want of talk, or as it is late
+	Forget float64 // seconds after which a name that says nothing is nobody's
 }
 
 // drift is how much slower than the leader's a server's clock may run, as a part: far over any crystal's, and over the 1% that is played.
@@ -92,8 +92,8 @@
 
 func (l *Ledger) old(now float64) bool { return now > l.before() }
 
-// mostRecords bounds the table: four times the largest fleet that is played.
-const mostRecords = 4096
+// maxRecords bounds the table: four times the largest fleet that is played.
+const maxRecords = 4096
 
 // askAgain is how often a command about one name is asked for, as it may be lost: a few times what a majority takes.
 const askAgain = 0.5
@@ -130,7 +130,7 @@
 	}
 	delete(l.proofs, q.Name) // it has what it proved for; who comes after it is told another number
 	if r == nil || r.life != q.Life {
-		if len(l.records) >= mostRecords && r == nil {
+		if len(l.records) >= maxRecords && r == nil {
 			a.Why = "there are too many servers"
 			return a, nil
 		}
@@ -235,20 +235,20 @@
 	return p.number
 }
 
-// mostAsked bounds the commands that are under way: with more names than that, the rest is asked for later.
-const mostAsked = 256
+// maxAsked bounds the commands that are under way: with more names than that, the rest is asked for later.
+const maxAsked = 256
 
 func (l *Ledger) command(now float64, name string, c version.Command) []version.Command {
 	if at, asked := l.asked[name]; asked && now < at+askAgain {
 		return nil
 	}
-	if len(l.asked) >= mostAsked {
+	if len(l.asked) >= maxAsked {
 		for n, at := range l.asked {
 			if now >= at+askAgain {
 				delete(l.asked, n)
 			}
 		}
-		if len(l.asked) >= mostAsked {
+		if len(l.asked) >= maxAsked {
 			return nil
 		}
 	}
@@ -258,7 +258,7 @@
 }
 
 // most is how many of the fleet may be off the roster.
-func (l *Ledger) most(o *version.Order) int { return int(l.terms.MostOut * float64(len(o.Holds))) }
+func (l *Ledger) most(o *version.Order) int { return int(l.terms.MaxOut * float64(len(o.Holds))) }
 
 // mayBeOut tells whether one more may be shut out as it is late: those that are, and those that have no lease as they are late, count.
 func (l *Ledger) mayBeOut(o *version.Order, name string) bool {
@@ -301,7 +301,7 @@
 	case q.MayLeave && !r.leaver:
 		r.leaver, r.allowed = true, q.Number
 		l.leavers++
-	case r.leaver && !q.MayLeave && q.Number >= r.allowed+mostWaiting: // no answer that said so is waited for any more
+	case r.leaver && !q.MayLeave && q.Number >= r.allowed+maxWaiting: // no answer that said so is waited for any more
 		r.leaver = false
 		l.leavers--
 	}
--- a/internal/judge/member/member_test.go
+++ b/internal/judge/member/member_test.go
@@ -10,7 +10,7 @@
 	"swiftcourse/internal/judge/version"
 )
 
-var terms = Terms{Lease: 3, Behind: 5, MostOut: 0.25, Forget: 60}
+var terms = Terms{Lease: 3, Behind: 5, MaxOut: 0.25, Forget: 60}
 
 // homes are of the first server alone, so that the drawn schedules have names with a home and names without.
 var homes = map[string]string{"n0": "addr0"}
@@ -196,7 +196,7 @@
 			away++
 		}
 	}
-	if most := int(terms.MostOut * float64(max(len(f.order.Holds), len(f.servers)))); away > most {
+	if most := int(terms.MaxOut * float64(max(len(f.order.Holds), len(f.servers)))); away > most {
 		f.t.Fatalf("%d of %d are off the roster for want of talk, %d may be", away, len(f.servers), most)
 	}
 }
@@ -457,7 +457,7 @@
 // TestAPlaceToLeaveOutlivesItsLeader: with room for all to leave the roster, a new leader takes no place away from anybody, also not for a moment.
 func TestAPlaceToLeaveOutlivesItsLeader(t *testing.T) {
 	was := terms
-	terms.MostOut = 1
+	terms.MaxOut = 1
 	defer func() { terms = was }()
 	for seed := range uint64(20) {
 		f := newFleet(t, seed, 5, LeaveThen)
--- a/internal/judge/member/self.go
+++ b/internal/judge/member/self.go
@@ -123,8 +123,8 @@
 const (
 	// askEvery is a third of a lease: two questions in a row may be lost.
 	askPart = 1.0 / 3
-	// mostWaiting bounds the questions whose answer may still come: those of two leases.
-	mostWaiting = 8
+	// maxWaiting bounds the questions whose answer may still come: those of two leases.
+	maxWaiting = 8
 	// redirects are asked at once, but no oftener than this, so that voters who point at one another cost nothing.
 	leastAsk = 0.1
 )
@@ -151,7 +151,7 @@
 	redirected uint64 // number of the newest answer that named another one to ask
 	latest     uint64 // number of the newest answer that counted
 	proof      uint64
-	waiting    [mostWaiting]struct {
+	waiting    [maxWaiting]struct {
 		number uint64
 		at     float64
 	}
@@ -169,7 +169,7 @@
 // Ask makes the next question, which is to go to Leader, or to any voter where that is "".
 func (s *Self) Ask(now float64) Question {
 	s.number++
-	s.waiting[s.number%mostWaiting] = struct {
+	s.waiting[s.number%maxWaiting] = struct {
 		number uint64
 		at     float64
 	}{s.number, now}
@@ -196,7 +196,7 @@
 // Read takes an answer. One to an earlier life, to a question that is not waited for, or older than one that counted changes nothing. It
 // tells whether the standing changed.
 func (s *Self) Read(now float64, a *Answer) bool {
-	w := s.waiting[a.Number%mostWaiting]
+	w := s.waiting[a.Number%maxWaiting]
 	if a.Life != s.life || a.Number == 0 || w.number != a.Number || a.Number <= s.latest {
 		return false
 	}
--- a/internal/judge/plan/plan.go
+++ b/internal/judge/plan/plan.go
@@ -81,8 +81,8 @@
 	capWeight, rejecting, headroom = 0.3, 0.02, 1.25
 	// leastCap is what a worker is taken for that has finished nothing yet, in tasks a second: it gets some.
 	leastCap = 1.0
-	// mostForwarders and mostWorkers bound the tables, mostRate what anybody may tell: more is nonsense.
-	mostForwarders, mostWorkers, mostRate = 1024, 4096, 1e6
+	// maxForwarders and maxWorkers bound the tables, maxRate what anybody may tell: more is nonsense.
+	maxForwarders, maxWorkers, maxRate = 1024, 4096, 1e6
 )
 
 // forwarder is one as it last reported.
@@ -126,16 +126,16 @@
 
 // sane tells whether a report can be true.
 func (r *Report) sane() bool {
-	if r.Name == "" || len(r.Workers) > mostWorkers || !(r.For > 0) || r.For > 60 {
+	if r.Name == "" || len(r.Workers) > maxWorkers || !(r.For > 0) || r.For > 60 {
 		return false
 	}
 	for _, d := range r.Demand {
-		if !(d.Rate >= 0 && d.Rate <= mostRate) {
+		if !(d.Rate >= 0 && d.Rate <= maxRate) {
 			return false
 		}
 	}
 	for _, w := range r.Workers {
-		if w.Name == "" || w.Finished < 0 || w.Rejected < 0 || w.Lost < 0 || float64(w.Finished+w.Rejected+w.Lost) > mostRate*r.For {
+		if w.Name == "" || w.Finished < 0 || w.Rejected < 0 || w.Lost < 0 || float64(w.Finished+w.Rejected+w.Lost) > maxRate*r.For {
 			return false
 		}
 	}
@@ -151,7 +151,7 @@
 	}
 	f := p.forwarders[r.Name]
 	if f == nil {
-		if len(p.forwarders) >= mostForwarders {
+		if len(p.forwarders) >= maxForwarders {
 			return nil
 		}
 		f = &forwarder{}
@@ -173,7 +173,7 @@
 	for _, s := range r.Workers {
 		w := p.workers[s.Name]
 		if w == nil {
-			if len(p.workers) >= mostWorkers {
+			if len(p.workers) >= maxWorkers {
 				continue
 			}
 			w = &worker{name: s.Name, cap: leastCap}
--- a/internal/judge/plan/solve.go
+++ b/internal/judge/plan/solve.go
@@ -15,9 +15,9 @@
 // a class all weigh by what they can do.
 
 const (
-	// mostClasses of forwarders, or of workers, go into the linear programme: with more it takes longer than plans may, and weights follow from what
+	// maxClasses of forwarders, or of workers, go into the linear programme: with more it takes longer than plans may, and weights follow from what
 	// workers can do alone.
-	mostClasses = 10
+	maxClasses = 10
 	// least is a rate that counts as none.
 	least = 1e-9
 )
@@ -105,7 +105,7 @@
 	if n == 1 || m == 1 {
 		return flows, true // there is nothing to weigh
 	}
-	if n > mostClasses || m > mostClasses {
+	if n > maxClasses || m > maxClasses {
 		return flows, false
 	}
 	// Variables: a flow for each pair, a slack for each group, and the most that any group is asked for of what it can do.
--- a/internal/judge/replica/asker.go
+++ b/internal/judge/replica/asker.go
@@ -98,17 +98,17 @@
 }
 
 const (
-	// mostClaims bounds the claims under way, mostSayings what is still to be said. At 1 ms a claim that is two million a second.
-	mostClaims, mostSayings = 2048, 4096
+	// maxClaims bounds the claims under way, maxSayings what is still to be said. At 1 ms a claim that is two million a second.
+	maxClaims, maxSayings = 2048, 4096
 	// askAgain and lookAgain are how often holders are asked again: at once for a packet that was lost, more slowly for a run to end. Both double.
-	askAgain, lookAgain, mostAgain = 0.02, 0.05, 0.5
+	askAgain, lookAgain, maxAgain = 0.02, 0.05, 0.5
 	// leastPatience is for how long holders are waited for at the least, and patience the multiple of what claims typically take: a task whose
 	// holders don't answer is told so while its caller has time to go elsewhere.
 	leastPatience, patience = 0.25, 8
 	// sayAgain and sayFor are how often, and for how long, an end is said to holders that did not note it. After that the comparison of copies has it.
 	sayAgain, sayFor = 0.1, 5.0
-	// mostRounds of one claim: a storm of holders that come and go must not become one of questions.
-	mostRounds = 64
+	// maxRounds of one claim: a storm of holders that come and go must not become one of questions.
+	maxRounds = 64
 )
 
 // Asker is the part of one server that asks for its tasks.
@@ -147,7 +147,7 @@
 // where less is left than a run.
 func (s *Asker) Begin(now float64, id string, key state.Key, until float64) {
 	typical := s.Typical(now)
-	if s.claims[id] != nil || len(s.claims) >= mostClaims || until-now <= typical {
+	if s.claims[id] != nil || len(s.claims) >= maxClaims || until-now <= typical {
 		s.told = append(s.told, Told{ID: id, Ruling: stance.NoQuorum})
 		return
 	}
@@ -201,8 +201,8 @@
 		verb, pause = Look, lookAgain
 		clear(c.free)
 	}
-	c.again = now + min(mostAgain, pause*float64(int(1)<<min(c.rounds, 5)))
-	if c.rounds++; c.rounds > mostRounds {
+	c.again = now + min(maxAgain, pause*float64(int(1)<<min(c.rounds, 5)))
+	if c.rounds++; c.rounds > maxRounds {
 		c.again = c.until
 	}
 	for j, i := range c.group {
@@ -263,7 +263,7 @@
 		if t.Claim.Compare(c.try.Claim) < 0 || c.heldBy(t.Claim) > len(c.group)-s.place.Need {
 			s.step(c, beaten, now)
 		}
-	case news && c.rounds < mostRounds:
+	case news && c.rounds < maxRounds:
 		s.under(c)
 		s.ask(c, now)
 	}
@@ -322,7 +322,7 @@
 func (s *Asker) sayEnd(c *claim, now float64) { s.say(c, c.try, now) }
 
 func (s *Asker) say(c *claim, t state.Try, now float64) {
-	if len(s.saying) >= mostSayings { // the oldest goes unsaid: its claim stands as one that may have run
+	if len(s.saying) >= maxSayings { // the oldest goes unsaid: its claim stands as one that may have run
 		s.quit(s.saying[0])
 	}
 	w := &saying{key: c.key, try: t, group: c.group, noted: make([]bool, len(c.group)), until: now + sayFor}
--- a/internal/judge/replica/callers.go
+++ b/internal/judge/replica/callers.go
@@ -9,11 +9,11 @@
 	"swiftcourse/internal/judge/door"
 )
 
-// MostEarned is how many callers one server tells of: those that earned most there. A server hardly has more that come back within a restart.
-const MostEarned = 256
+// MaxEarned is how many callers one server tells of: those that earned most there. A server hardly has more that come back within a restart.
+const MaxEarned = 256
 
-// mostTellers bounds whose words are held.
-const mostTellers = 128
+// maxTellers bounds whose words are held.
+const maxTellers = 128
 
 // Voucher is a server's word on the callers that earned being known at its door.
 type Voucher struct {
@@ -45,11 +45,11 @@
 	if was := v.by[w.Name]; was != nil && !w.newer(was) {
 		return false
 	}
-	if v.by[w.Name] == nil && len(v.by) >= mostTellers {
+	if v.by[w.Name] == nil && len(v.by) >= maxTellers {
 		oldest := slices.MinFunc(slices.Sorted(maps.Keys(v.heard)), func(a, b string) int { return cmp.Compare(v.heard[a], v.heard[b]) })
 		v.drop(oldest)
 	}
-	w.Earned = w.Earned[:min(len(w.Earned), MostEarned)]
+	w.Earned = w.Earned[:min(len(w.Earned), MaxEarned)]
 	v.by[w.Name], v.heard[w.Name] = &w, now
 	return true
 }
--- a/internal/judge/replica/holder.go
+++ b/internal/judge/replica/holder.go
@@ -105,16 +105,16 @@
 const (
 	// sliceBytes is how much of the records one answer to a Pull tells: some tens of packets, a millisecond of a holder's time.
 	sliceBytes = 32 << 10
-	// mostPulled slots go in one Pull: empty ones cost little, so that a round trip does for many.
-	mostPulled = 64
+	// maxPulled slots go in one Pull: empty ones cost little, so that a round trip does for many.
+	maxPulled = 64
 	// pullAgain is after how long a Pull without an answer is repeated: some of the longest delays among servers that hear one another.
 	pullAgain = 0.5
 	// coldAgain is after how long a holder that was cold itself is asked again.
 	coldAgain = 0.25
 	// compareEvery is how often a holder tells another one its sums: of three holders each pair has compared within some seconds.
 	compareEvery = 1.0
-	// mostAged records are forgotten in one go.
-	mostAged = 256
+	// maxAged records are forgotten in one go.
+	maxAged = 256
 )
 
 // learning is how far a slot that is cold, or differs, has been told by the others.
@@ -219,7 +219,7 @@
 	if q.Plan != h.place.Digest || !slices.Contains(group, h.me) {
 		return a
 	}
-	h.store.Age(now, mostAged)
+	h.store.Age(now, maxAged)
 	h.hear(now, group, q.Sits)
 	r, sound := h.store.Get(q.Key)
 	if !sound {
@@ -258,7 +258,7 @@
 		if r.Live() != nil {
 			return Held
 		}
-		if len(r.Tries) >= mostTries { // none is live: the first is forgotten
+		if len(r.Tries) >= maxTries { // none is live: the first is forgotten
 			short := *r
 			short.Tries = r.Tries[1:]
 			r = &short
@@ -308,7 +308,7 @@
 	}
 	left := sliceBytes
 	for n, slot := range q.Slots {
-		if n == mostPulled || left <= 0 && n > 0 {
+		if n == maxPulled || left <= 0 && n > 0 {
 			break
 		}
 		group := h.place.Group(slot)
@@ -452,7 +452,7 @@
 
 // Due does what is due: catching up, comparing, forgetting.
 func (h *Holder) Due(now float64) {
-	h.store.Age(now, mostAged)
+	h.store.Age(now, maxAged)
 	if len(h.cold) > 0 && now >= h.since+h.place.Window+2*h.place.Longest {
 		for slot := range h.cold { // whatever was granted before it sat down is past
 			h.warm(slot)
@@ -514,7 +514,7 @@
 			p.begun = false
 		}
 	}
-	p.asked = asked[:min(len(asked), mostPulled)]
+	p.asked = asked[:min(len(asked), maxPulled)]
 	h.numbers++
 	p.sent, p.number = now, h.numbers
 	p.last = &Pull{Plan: h.place.Digest, Number: p.number, Sit: h.sits[h.me], Slots: p.asked, After: p.after, Begun: p.begun}
--- a/internal/judge/replica/merge.go
+++ b/internal/judge/replica/merge.go
@@ -7,9 +7,9 @@
 	state "swiftcourse/internal/replica"
 )
 
-// mostTries bounds the tries of one key that a holder remembers. That one was withdrawn is remembered for its claim's sake, should it come late: one
+// maxTries bounds the tries of one key that a holder remembers. That one was withdrawn is remembered for its claim's sake, should it come late: one
 // that is forgotten and does come then stands in the way, for nobody, until the key is forgotten.
-const mostTries = 32
+const maxTries = 32
 
 // Merge is what two copies of a record come to, whatever order they are merged in and however often: all tries of both, each in its higher state.
 // A claim that one holder alone granted stays, so that a claimant who counted on it is never overlooked.
--- a/internal/judge/replica/place.go
+++ b/internal/judge/replica/place.go
@@ -29,10 +29,10 @@
 	Longest float64 // seconds that a claim may be under way: the longest time limit of a stage that bears keys
 }
 
-// MostMembers and MostCopies bound a plan, and with it each message's list of sittings.
+// MaxMembers and MaxCopies bound a plan, and with it each message's list of sittings.
 const (
-	MostMembers = 64
-	MostCopies  = 7
+	MaxMembers = 64
+	MaxCopies  = 7
 )
 
 // bound is how much over its even part of the slots a holder may get: with a quarter of slack few slots move when one holder more or less is named.
@@ -50,11 +50,11 @@
 
 // NewPlace works out who holds what.
 func NewPlace(t Terms) (*Place, error) {
-	if len(t.Members) == 0 || len(t.Members) > MostMembers {
-		return nil, fmt.Errorf("%d holders; there may be 1 to %d", len(t.Members), MostMembers)
+	if len(t.Members) == 0 || len(t.Members) > MaxMembers {
+		return nil, fmt.Errorf("%d holders; there may be 1 to %d", len(t.Members), MaxMembers)
 	}
-	if t.Copies < 1 || t.Copies > MostCopies || !(t.Window > 0) || !(t.Longest > 0) {
-		return nil, fmt.Errorf("%d copies for %g s; there may be 1 to %d, for longer than 0", t.Copies, t.Window, MostCopies)
+	if t.Copies < 1 || t.Copies > MaxCopies || !(t.Window > 0) || !(t.Longest > 0) {
+		return nil, fmt.Errorf("%d copies for %g s; there may be 1 to %d, for longer than 0", t.Copies, t.Window, MaxCopies)
 	}
 	p := &Place{Terms: t, index: map[string]int{}}
 	p.Members = slices.SortedFunc(slices.Values(t.Members), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/judge/replica/rules_test.go
+++ b/internal/judge/replica/rules_test.go
@@ -414,7 +414,7 @@
 	v := NewVouchers(60)
 	honest := netip.MustParseAddr("10.0.0.1")
 	lies := Voucher{Name: "liar", Life: 1, Number: 1}
-	for i := range 2 * MostEarned {
+	for i := range 2 * MaxEarned {
 		lies.Earned = append(lies.Earned, door.Earned{Addr: netip.AddrFrom4([4]byte{11, 0, byte(i >> 8), byte(i)}), Credit: 1e9})
 	}
 	v.Hear(1, lies)
--- a/internal/judge/route/route.go
+++ b/internal/judge/route/route.go
@@ -76,23 +76,23 @@
 	sourAfter = 3
 	// safeFirst is for how long only tasks that may run twice try a worker that lost some, in seconds: where none comes any will do.
 	safeFirst = 1.0
-	// restLeast is for how long it is left out at first, doubled each time up to restMost.
-	restLeast, restMost = 0.25, 4.0
+	// restLeast is for how long it is left out at first, doubled each time up to maxRest.
+	restLeast, maxRest = 0.25, 4.0
 	// firstTook is what a task is taken to last where none has ended, and tookWeight what the latest one weighs: some ten tell.
 	firstTook, tookWeight = 0.05, 0.1
 	// ghosts is how many open tasks a rejection counts as: it takes a second try too, which a finished one does not.
 	ghosts = 2.0
 	// leastGhost is how long a rejection counts as an open task at the least.
 	leastGhost = 0.05
-	// again is the part of all first tries that second ones may be, and againMost what may be saved up: in an outage attempts stay under 1.1 a task.
-	again, againMost = 0.08, 10.0
+	// again is the part of all first tries that second ones may be, and maxAgain what may be saved up: in an outage attempts stay under 1.1 a task.
+	again, maxAgain = 0.08, 10.0
 	// capWeight is what the latest round weighs in what a worker finishes; one that rejects so large a part is full, one that does not may have so much
 	// more; leastCap is what all are taken for that finished nothing. ownWeight smooths what follows for the weights.
 	capWeight, rejecting, headroom, leastCap, ownWeight = 0.3, 0.02, 1.25, 1.0, 0.3
-	// MostTries of a task: a third would mostly find what the second did.
-	MostTries = 2
-	// MostWorkers bounds the table.
-	MostWorkers = 4096
+	// MaxTries of a task: a third would mostly find what the second did.
+	MaxTries = 2
+	// MaxWorkers bounds the table.
+	MaxWorkers = 4096
 	// moves is the part of all weight that one plan may move at a forwarder: one that is wrong is found out before all follow it.
 	moves = 0.25
 )
@@ -143,7 +143,7 @@
 
 // New makes a router that knows no workers.
 func New(seed uint64) *Router {
-	return &Router{seed: seed, byName: map[string]*worker{}, budget: againMost, took: firstTook, coldAt: 1}
+	return &Router{seed: seed, byName: map[string]*worker{}, budget: maxAgain, took: firstTook, coldAt: 1}
 }
 
 // Cold tells how workers start, by the settings: at a part of their speed, and evenly up to all of it in so many seconds. A worker counts
@@ -169,7 +169,7 @@
 
 // Add puts a worker in, without a link; a name that is there already, or that has no room, changes nothing.
 func (r *Router) Add(now float64, name string) {
-	if r.byName[name] == nil && len(r.workers) < MostWorkers {
+	if r.byName[name] == nil && len(r.workers) < MaxWorkers {
 		w := &worker{name: name, state: Gone, rest: restLeast, at: now, plan: 1, own: 1, cap: leastCap}
 		r.workers, r.byName[name] = append(r.workers, w), w
 	}
@@ -354,7 +354,7 @@
 		w.trying = true
 	}
 	if try == 1 {
-		r.budget = min(againMost, r.budget+again)
+		r.budget = min(maxAgain, r.budget+again)
 	}
 }
 
@@ -377,7 +377,7 @@
 	case Rejected:
 		w.ghost += ghosts
 		w.count(func(t *Tally) { t.Rejected++ })
-		w.until = max(w.until, now+min(advice, restMost))
+		w.until = max(w.until, now+min(advice, maxRest))
 	case Cut, Late:
 		w.count(func(t *Tally) { t.Lost++ })
 	}
@@ -387,7 +387,7 @@
 		w.step(spoke)
 	case Cut, Late:
 		if w.sour++; w.state == Trying || w.state == Well && w.sour >= sourAfter {
-			w.until, w.rest, w.trying = now+w.rest, min(restMost, 2*w.rest), false
+			w.until, w.rest, w.trying = now+w.rest, min(maxRest, 2*w.rest), false
 			w.step(lost)
 			w.step(soured)
 		}
@@ -399,7 +399,7 @@
 // Again tells whether a task may have another try after one that ended so, with so much time left: where it is known not to have run, or may run
 // twice; where a typical run fits; and as far as the budget of second tries goes.
 func (r *Router) Again(end End, tries int, safe bool, left, typical float64) bool {
-	if tries >= MostTries || end == Finished || end == Dropped || end == Late || !end.Proven() && !safe || end == Errored || left <= typical || r.budget < 1 {
+	if tries >= MaxTries || end == Finished || end == Dropped || end == Late || !end.Proven() && !safe || end == Errored || left <= typical || r.budget < 1 {
 		return false
 	}
 	r.budget--
--- a/internal/judge/route/route_test.go
+++ b/internal/judge/route/route_test.go
@@ -40,7 +40,7 @@
 				was := r.Standing(name)
 				got, back := r.Pick(now, safe, except)
 				if got == "" {
-					if back < 0 || back > restMost {
+					if back < 0 || back > maxRest {
 						t.Fatalf("nobody, and back in %g", back)
 					}
 					continue
@@ -72,7 +72,7 @@
 				}
 			}
 		}
-		if float64(second) > againMost+again*float64(first) {
+		if float64(second) > maxAgain+again*float64(first) {
 			t.Fatalf("%d second tries of %d", second, first)
 		}
 	})
--- a/internal/judge/shared/budget/budget.go
+++ b/internal/judge/shared/budget/budget.go
@@ -38,10 +38,10 @@
 	drift = 0.02
 	// ConfirmedFor is for how long, in seconds, a leader that is followed may still give parts: see package member.
 	ConfirmedFor = 1.0
-	// MostBounds and MostName bound the terms.
-	MostBounds, MostName = 16384, 96
-	// MostEntries is how many budgets one message speaks of: under 20 KB.
-	MostEntries = 128
+	// MaxBounds and MaxName bound the terms.
+	MaxBounds, MaxName = 16384, 96
+	// MaxEntries is how many budgets one message speaks of: under 20 KB.
+	MaxEntries = 128
 )
 
 // FloorOf is what each server may use of a bound without a word from anybody.
@@ -70,8 +70,8 @@
 
 // Check tells what is wrong with terms.
 func (t *Terms) Check() error {
-	if len(t.Bounds) > MostBounds {
-		return fmt.Errorf("%d budgets, %d at most", len(t.Bounds), MostBounds)
+	if len(t.Bounds) > MaxBounds {
+		return fmt.Errorf("%d budgets, %d at most", len(t.Bounds), MaxBounds)
 	}
 	if !(t.Lease > 0) || !(t.Floor > 0 && t.Floor < 1) || t.Servers < 1 {
 		return fmt.Errorf("budgets need a lease, a floor over 0%% and under 100%%, and the number of servers")
@@ -80,7 +80,7 @@
 	for i := range t.Bounds {
 		b := &t.Bounds[i]
 		switch floor := t.FloorOf(b); {
-		case b.Name == "" || len(b.Name) > MostName || seen[b.Name]:
+		case b.Name == "" || len(b.Name) > MaxName || seen[b.Name]:
 			return fmt.Errorf("budget %q: no name, one that is too long, or there already", b.Name)
 		case !(b.Most >= 0) || math.IsInf(b.Most, 0) || b.Open != (b.Linger > 0):
 			return fmt.Errorf("budget %s: %g is no bound", b.Name, b.Most)
--- a/internal/judge/shared/budget/budget_test.go
+++ b/internal/judge/shared/budget/budget_test.go
@@ -430,7 +430,7 @@
 		"open for ever":    func(x *Terms) { x.Bounds = []Bound{{Name: "a", Most: 50, Open: true}} },
 		"floor under one":  func(x *Terms) { x.Bounds = []Bound{{Name: "a", Most: 30, Open: true, Linger: 1}} },
 		"a name too long":  func(x *Terms) { x.Bounds = []Bound{{Name: fmt.Sprintf("%099d", 1), Most: 1}} },
-		"more than it may": func(x *Terms) { x.Bounds = make([]Bound, MostBounds+1) },
+		"more than it may": func(x *Terms) { x.Bounds = make([]Bound, MaxBounds+1) },
 	} {
 		x := good
 		change(&x)
@@ -447,8 +447,8 @@
 	}
 	g := NewGranter(terms, 1, 0)
 	q := &Question{Terms: terms.Sum(), Granter: 1}
-	for i := range min(budgets, MostEntries) {
-		q.Wishes = append(q.Wishes, Wish{Name: terms.Bounds[i*budgets/min(budgets, MostEntries)].Name, Demand: 3})
+	for i := range min(budgets, MaxEntries) {
+		q.Wishes = append(q.Wishes, Wish{Name: terms.Bounds[i*budgets/min(budgets, MaxEntries)].Name, Demand: 3})
 	}
 	b.ReportAllocs()
 	n := 0
--- a/internal/judge/shared/budget/granter.go
+++ b/internal/judge/shared/budget/granter.go
@@ -65,9 +65,9 @@
 	headroom = 0.25
 	// levelFor is how long a level counts, in seconds: reckoned 20 times a second whatever the number of servers.
 	levelFor = 0.05
-	// mostLots bounds the servers of a budget, and mostGiven what is kept of each: questions come a tenth of a second apart, so that a renewed
+	// maxBudgetServers bounds the servers of a budget, and maxGiven what is kept of each: questions come a tenth of a second apart, so that a renewed
 	// part never loses a grant that may still be taken.
-	mostLots, mostGiven = 4096, 64
+	maxBudgetServers, maxGiven = 4096, 64
 )
 
 // NewGranter makes the side of a leader whose term begins; id is drawn, so that no other granter has it.
@@ -107,7 +107,7 @@
 // Read answers a question; nil where it is none of this granter's: it does not know yet, or goes by other terms. confirmed tells that a majority
 // confirmed the leader within ConfirmedFor.
 func (g *Granter) Read(now float64, q *Question, confirmed bool) *Answer {
-	if !confirmed || !g.alone(now) || q.Life == 0 || q.Number == 0 || q.Terms != g.sum || len(q.Wishes) > MostEntries {
+	if !confirmed || !g.alone(now) || q.Life == 0 || q.Number == 0 || q.Terms != g.sum || len(q.Wishes) > MaxEntries {
 		return nil
 	}
 	a := &Answer{Life: q.Life, Number: q.Number, Granter: g.id}
@@ -136,10 +136,10 @@
 	pool, floor := g.terms.pool(s.bound), g.terms.FloorOf(s.bound)
 	l := s.lots[q.Life]
 	if l == nil {
-		if len(s.lots) >= mostLots {
+		if len(s.lots) >= maxBudgetServers {
 			g.tend(now, s)
 		}
-		if len(s.lots) >= mostLots {
+		if len(s.lots) >= maxBudgetServers {
 			return 0, false
 		}
 		l = &lot{till: math.Inf(-1)}
@@ -166,9 +166,9 @@
 		free = min(free, l.counts(now))
 	}
 	part = min(target, free)
-	if len(l.given) >= mostGiven {
+	if len(l.given) >= maxGiven {
 		l.given = slices.DeleteFunc(l.given, func(x given) bool { return now > x.until })
-		if len(l.given) >= mostGiven {
+		if len(l.given) >= maxGiven {
 			return 0, false
 		}
 	}
--- a/internal/judge/shared/budget/holder.go
+++ b/internal/judge/shared/budget/holder.go
@@ -49,7 +49,7 @@
 	names  []string // of the parts, in order
 	turn   int      // where in names the next question goes on
 	number uint64
-	sent   [mostSent]struct {
+	sent   [maxSent]struct {
 		number uint64
 		at     float64
 	}
@@ -60,8 +60,8 @@
 }
 
 const (
-	// mostSent bounds the questions whose answer may still come.
-	mostSent = 16
+	// maxSent bounds the questions whose answer may still come.
+	maxSent = 16
 	// askSoon is how soon after one another two questions go out when there is news: a hot server has what others leave within a few of them.
 	askSoon = 0.1
 	// starvedAsk is how often one asks that could use more than it has: others give up what they don't need a few times a second.
@@ -155,7 +155,7 @@
 		name := h.names[(h.turn+i)%len(h.names)]
 		p := h.parts[name]
 		if h.tell(p, now) {
-			if len(due) == MostEntries {
+			if len(due) == MaxEntries {
 				h.turn = (h.turn + i) % len(h.names)
 				h.next = now
 				break
@@ -169,7 +169,7 @@
 		return nil
 	}
 	h.number++
-	h.sent[h.number%mostSent].number, h.sent[h.number%mostSent].at = h.number, now
+	h.sent[h.number%maxSent].number, h.sent[h.number%maxSent].at = h.number, now
 	q := &Question{Life: h.life, Number: h.number, Terms: h.sum, Granter: h.granter}
 	for _, name := range due {
 		p := h.parts[name]
@@ -189,7 +189,7 @@
 
 // Read takes an answer. One to an earlier life, to a question that is not waited for, or older than one that counted changes nothing.
 func (h *Holder) Read(now float64, a *Answer) {
-	w := h.sent[a.Number%mostSent]
+	w := h.sent[a.Number%maxSent]
 	if a.Life != h.life || a.Number == 0 || w.number != a.Number || a.Number <= h.latest {
 		return
 	}
--- a/internal/judge/shared/counts/counts.go
+++ b/internal/judge/shared/counts/counts.go
@@ -58,12 +58,12 @@
 const (
 	// tellEvery is how often a row's change is told, in seconds: each change costs some hundred bytes to each keeper.
 	tellEvery = 2.0
-	// tellAgain is after how long it is told again to keepers that did not answer while too few have it, doubled each time up to mostAgain.
-	tellAgain, mostAgain = 0.4, 6.0
+	// tellAgain is after how long it is told again to keepers that did not answer while too few have it, doubled each time up to maxAgain.
+	tellAgain, maxAgain = 0.4, 6.0
 	// idleEvery is how often it is told that there is nothing new, so that keepers know that they lack nothing.
 	idleEvery = 5.0
-	// MostCells of a row have a number of their own; the rest goes into one. Sixty stages of sixteen tenants have room.
-	MostCells = 1024
+	// MaxCells of a row have a number of their own; the rest goes into one. Sixty stages of sixteen tenants have room.
+	MaxCells = 1024
 )
 
 type cells map[stance.Cell]stance.Tally
@@ -124,7 +124,7 @@
 func (t *Teller) Add(list []stance.Count) {
 	for _, n := range list {
 		cell := n.Cell
-		if _, known := t.all[cell]; !known && len(t.all) >= MostCells {
+		if _, known := t.all[cell]; !known && len(t.all) >= MaxCells {
 			cell = stance.Cell{}
 		}
 		t.all[cell] = t.all[cell].Plus(n.Tally)
@@ -158,7 +158,7 @@
 		t.number++
 		t.pause = tellAgain
 	case t.number > 0 && now >= t.again:
-		t.pause = min(2*t.pause, mostAgain)
+		t.pause = min(2*t.pause, maxAgain)
 	default:
 		return nil
 	}
--- a/internal/judge/shared/counts/keeper.go
+++ b/internal/judge/shared/counts/keeper.go
@@ -28,22 +28,22 @@
 }
 
 const (
-	// mostRows bounds the rows of a keeper: those of the largest fleet, and as many lives that are over. What is told beyond that is not taken.
-	mostRows = 8192
+	// maxRows bounds the rows of a keeper: those of the largest fleet, and as many lives that are over. What is told beyond that is not taken.
+	maxRows = 8192
 	// quiet is after how long in seconds a row that nobody tells may be closed, some times as long as a living server takes to tell again.
 	quiet = 10.0
-	// closeEvery is how often those are looked for, and mostClosed how many rows, and cells of them, are closed in one go.
-	closeEvery, mostClosed, mostClosedCells = 1.0, 32, 2048
+	// closeEvery is how often those are looked for, and maxClosed how many rows, and cells of them, are closed in one go.
+	closeEvery, maxClosed, maxClosedCells = 1.0, 32, 2048
 	// Keepers' own rows are closed now and then, as all keepers may die at once: the voters' order, which all others have copies of, outlives them. It
 	// grows with each, and is copied; renewEach is for how long in seconds for each row, so that a larger fleet has no more to copy, and a minute at least.
 	renewEach, renewLeast = 0.6, 60.0
 	// learnEvery is how often a keeper that knows nothing yet asks the others, learnFor how long before it counts as one that knows what there is:
 	// after that what was only known to keepers that are gone is lost, which Holes tells.
 	learnEvery, learnFor = 0.25, 30.0
-	// mostSlice cells go in one answer: some tens of kilobytes.
-	mostSlice = 1024
-	// mostRate is what a server may count in a second, and burst what it may have saved up: more is nonsense.
-	mostRate, burst = 1e6, 1e7
+	// maxSlice cells go in one answer: some tens of kilobytes.
+	maxSlice = 1024
+	// maxRate is what a server may count in a second, and burst what it may have saved up: more is nonsense.
+	maxRate, burst = 1e6, 1e7
 	// windowWide and windowMany make the window of a minute.
 	windowWide, windowMany = 5.0, 12
 	// lateAfter is for how long a server may tell nothing new before reads name it.
@@ -150,7 +150,7 @@
 func (k *Keeper) take(now float64, t *Told) *kept {
 	r := k.rows[t.Row]
 	if r == nil {
-		if t.Base != 0 || t.Number == 0 || t.Name == "" || len(k.rows) >= mostRows || len(t.Cells) > MostCells+1 {
+		if t.Base != 0 || t.Number == 0 || t.Name == "" || len(k.rows) >= maxRows || len(t.Cells) > MaxCells+1 {
 			return nil
 		}
 		r = k.open(now, t.Row)
@@ -175,7 +175,7 @@
 		sum += more[n.Cell].Asked
 	}
 	first := r.Number == 0
-	if t.Base == 0 && held < len(r.cells) || len(r.cells)+len(more)-held > MostCells+1 || !first && float64(sum) > burst+mostRate*max(0, now-r.grew) {
+	if t.Base == 0 && held < len(r.cells) || len(r.cells)+len(more)-held > MaxCells+1 || !first && float64(sum) > burst+maxRate*max(0, now-r.grew) {
 		k.refused++
 		return r
 	}
@@ -219,7 +219,7 @@
 func (k *Keeper) Asked(now float64, q *Ask) *Said {
 	k.hear(now, q.Sits)
 	s := &Said{Number: q.Number, Cold: k.cold, Sits: slices.Clone(k.sits)}
-	left := mostSlice
+	left := maxSlice
 	put := func(r *kept) bool {
 		if left -= 1 + len(r.cells); left < 0 && len(s.Rows) > 0 {
 			s.More = true
@@ -237,7 +237,7 @@
 		return s
 	}
 	for _, h := range q.Rows {
-		if _, over := k.over(h.Row); over || k.cold || len(k.rows) >= mostRows {
+		if _, over := k.over(h.Row); over || k.cold || len(k.rows) >= maxRows {
 			s.Cold = s.Cold || !over
 			continue
 		}
@@ -279,7 +279,7 @@
 	r := k.rows[t.Row]
 	if t.Number > 0 {
 		r = k.take(now, t)
-	} else if r == nil && t.Closes && len(k.rows) < mostRows {
+	} else if r == nil && t.Closes && len(k.rows) < maxRows {
 		r = k.open(now, t.Row)
 	}
 	if r == nil || !t.Closes {
@@ -365,7 +365,7 @@
 		r := k.rows[row]
 		old := now >= r.since+max(renewLeast, renewEach*float64(len(k.rows))) && slices.Contains(k.names, r.Name)
 		if r.Closes || old || (r.passed || now >= r.heard+quiet) && gone(r.Name, r.Life) {
-			if many += len(r.cells); len(q.Rows) >= mostClosed || many > mostClosedCells && len(q.Rows) > 0 {
+			if many += len(r.cells); len(q.Rows) >= maxClosed || many > maxClosedCells && len(q.Rows) > 0 {
 				break
 			}
 			k.close(now, row)
@@ -418,8 +418,8 @@
 	Refused int            // words that can't be true
 }
 
-// mostLate names are told.
-const mostLate = 64
+// maxLate names are told.
+const maxLate = 64
 
 // Report adds up; sums are those of rows that are over.
 func (k *Keeper) Report(now float64, sums []stance.Count) *Report {
@@ -455,7 +455,7 @@
 		}
 		return 1
 	})
-	rep.Late = rep.Late[:min(len(rep.Late), mostLate)]
+	rep.Late = rep.Late[:min(len(rep.Late), maxLate)]
 	k.window.All(now, func(c *cells) {
 		for cell, n := range *c {
 			minute[cell] = minute[cell].Plus(n)
--- a/internal/judge/shared/health/health.go
+++ b/internal/judge/shared/health/health.go
@@ -108,10 +108,10 @@
 	enough = 10
 	// told is how many calls a word must tell of to have a voice, and voices how many are needed.
 	told, voices = 1, 3
-	// MostWords bounds whose words are held: of more the voices would say the same.
-	MostWords = 128
-	// mostCalls is what a word may tell of: a million a second. More is nonsense.
-	mostCalls = 2e6
+	// MaxWords bounds whose words are held: of more the voices would say the same.
+	MaxWords = 128
+	// maxCalls is what a word may tell of: a million a second. More is nonsense.
+	maxCalls = 2e6
 	// dragging is how many times the least mean of half a minute calls take that drag.
 	dragging = 4.0
 	// tryers is how many servers of a zone make one call to a dead service in each slot of so many seconds.
@@ -173,7 +173,7 @@
 // Hear takes another server's word, and tells whether it counts. One that is older than what is there, or can't be, changes nothing.
 func (j *Judge) Hear(now float64, w Word) bool {
 	t := &w.Tally
-	if w.Name == "" || w.Name == j.name || t.Well < 0 || t.Lost < 0 || t.Well > mostCalls || t.Lost > mostCalls || !(t.Took >= 0) || math.IsInf(t.Took, 0) ||
+	if w.Name == "" || w.Name == j.name || t.Well < 0 || t.Lost < 0 || t.Well > maxCalls || t.Lost > maxCalls || !(t.Took >= 0) || math.IsInf(t.Took, 0) ||
 		!(w.Age >= 0 && w.Age < Window) || w.Age > now-j.since && j.state == Returning {
 		return false
 	}
@@ -181,9 +181,9 @@
 	if was != nil && was.Life == w.Life && w.Number <= was.Number {
 		return false
 	}
-	if was == nil && len(j.words) >= MostWords {
+	if was == nil && len(j.words) >= MaxWords {
 		j.age(now)
-		if len(j.words) >= MostWords {
+		if len(j.words) >= MaxWords {
 			return false
 		}
 	}
--- a/internal/judge/shared/health/health_test.go
+++ b/internal/judge/shared/health/health_test.go
@@ -214,7 +214,7 @@
 	for _, n := range []int{10, 1000} {
 		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
 			w := newWorld(n, 1)
-			for i := range MostWords {
+			for i := range MaxWords {
 				w.judges[0].Hear(0, Word{Name: fmt.Sprint("n", i+1), Life: 1, Number: 1, Tally: Tally{Well: 3, Took: 0.1}})
 			}
 			b.ReportAllocs()
--- a/internal/judge/version/order.go
+++ b/internal/judge/version/order.go
@@ -63,16 +63,16 @@
 
 // Bounds of the order, so that its copies fit a small server: about half a megabyte with all of them reached.
 const (
-	mostText  = 64 << 10 // bytes; an operator's file with every key is under 2 KiB
-	mostName  = 64       // bytes of a name, author or build
-	mostWhy   = 200      // bytes of a cause
-	mostNames = 4096     // servers, four times the largest fleet that is played
-	mostPast  = 64       // versions that are told of after they are over
-	mostWaves = 16
-	mostRows  = 64   // rows of counts in one command
-	mostOver  = 4096 // rows that are told of as over after they were added up
-	mostCells = 4096 // of counts, beside the one for the rest
-	mostTally = 1e15 // what a row may have counted: a million tasks a second for thirty years
+	maxText  = 64 << 10 // bytes; an operator's file with every key is under 2 KiB
+	maxName  = 64       // bytes of a name, author or build
+	maxWhy   = 200      // bytes of a cause
+	maxNames = 4096     // servers, four times the largest fleet that is played
+	maxPast  = 64       // versions that are told of after they are over
+	maxWaves = 16
+	maxRows  = 64   // rows of counts in one command
+	maxOver  = 4096 // rows that are told of as over after they were added up
+	maxCells = 4096 // of counts, beside the one for the rest
+	maxTally = 1e15 // what a row may have counted: a million tasks a second for thirty years
 )
 
 // Kind names a command.
@@ -282,13 +282,13 @@
 	for _, r := range c.Rows {
 		cells += len(r.Cells)
 		for _, n := range r.Cells {
-			if len(n.Tenant) > mostName || len(n.Stage) > mostName || !(stance.Tally{Asked: mostTally, Finished: mostTally, Rejected: mostTally, Abandoned: mostTally}).Holds(n.Tally) {
+			if len(n.Tenant) > maxName || len(n.Stage) > maxName || !(stance.Tally{Asked: maxTally, Finished: maxTally, Rejected: maxTally, Abandoned: maxTally}).Holds(n.Tally) {
 				return false
 			}
 		}
 	}
-	return len(c.Rows) <= mostRows && cells <= mostCells && c.Kind < kinds && len(c.Text) <= mostText && len(c.Build) <= mostName && len(c.Author) <= mostName && len(c.Name) <= mostName &&
-		len(c.Why) <= mostWhy && len(c.Waves) <= mostWaves && !math.IsNaN(c.At) && !math.IsInf(c.At, 0)
+	return len(c.Rows) <= maxRows && cells <= maxCells && c.Kind < kinds && len(c.Text) <= maxText && len(c.Build) <= maxName && len(c.Author) <= maxName && len(c.Name) <= maxName &&
+		len(c.Why) <= maxWhy && len(c.Waves) <= maxWaves && !math.IsNaN(c.At) && !math.IsInf(c.At, 0)
 }
 
 // Apply makes one committed command's change. A refused one changes nothing but the count; the error is the same on every copy.
@@ -304,7 +304,7 @@
 		return err
 	}
 	if c.ID != 0 {
-		if _, known := o.Done[c.Author]; !known && len(o.Done) >= mostPast { // any will do: a repeat follows within seconds
+		if _, known := o.Done[c.Author]; !known && len(o.Done) >= maxPast { // any will do: a repeat follows within seconds
 			delete(o.Done, slices.Min(slices.Collect(maps.Keys(o.Done))))
 		}
 		o.Done[c.Author] = c.ID
@@ -343,7 +343,7 @@
 			return ErrBounds
 		case held && holder != c.Was && holder != c.Life:
 			return ErrTaken
-		case !held && len(o.Holds) >= mostNames:
+		case !held && len(o.Holds) >= maxNames:
 			return ErrFull
 		}
 		o.Holds[c.Name] = c.Life
@@ -351,7 +351,7 @@
 			delete(o.Out, c.Name) // another life was
 		}
 	case Shut:
-		if _, known := o.Out[c.Name]; !known && len(o.Out) >= mostNames {
+		if _, known := o.Out[c.Name]; !known && len(o.Out) >= maxNames {
 			return ErrFull
 		}
 		if c.Life != 0 && o.Holds[c.Name] != c.Life {
@@ -394,13 +394,13 @@
 	if _, over := o.Closed(r.Row); over {
 		return
 	}
-	if len(o.Over) >= mostOver { // its server was gone for thousands of restarts: see docs/shared.md
+	if len(o.Over) >= maxOver { // its server was gone for thousands of restarts: see docs/shared.md
 		o.Over = append(o.Over[:0], o.Over[1:]...)
 	}
 	o.Over = append(o.Over, Row{Row: r.Row, Number: r.Number})
 	for _, n := range r.Cells {
 		at, known := slices.BinarySearchFunc(o.Sums, n.Cell, compareCell)
-		if !known && len(o.Sums) >= mostCells {
+		if !known && len(o.Sums) >= maxCells {
 			n.Cell = stance.Cell{}
 			at, known = slices.BinarySearchFunc(o.Sums, n.Cell, compareCell)
 		}
@@ -480,7 +480,7 @@
 	if v.Epoch == 0 {
 		return
 	}
-	if len(o.Past) >= mostPast {
+	if len(o.Past) >= maxPast {
 		o.Past = append(o.Past[:0], o.Past[1:]...)
 	}
 	o.Past = append(o.Past, Mark{Epoch: v.Epoch, Digest: v.Digest, Author: v.Author, At: v.At, Fate: fate})
--- a/internal/judge/version/order_test.go
+++ b/internal/judge/version/order_test.go
@@ -77,7 +77,7 @@
 			c := &Command{Kind: Kind(rapid.IntRange(0, int(kinds)).Draw(t, "kind")), Author: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "by"),
 				ID: uint64(rapid.IntRange(0, 3).Draw(t, "id")), Name: rapid.SampledFrom([]string{"", "n0", "n1", "n9"}).Draw(t, "name"),
 				Life: uint64(rapid.IntRange(0, 3).Draw(t, "life")), Was: uint64(rapid.IntRange(0, 12).Draw(t, "was")),
-				Text:  rapid.SampledFrom([]string{"", "x", "y", strings.Repeat("z", mostText+1)}).Draw(t, "text"),
+				Text:  rapid.SampledFrom([]string{"", "x", "y", strings.Repeat("z", maxText+1)}).Draw(t, "text"),
 				Waves: rapid.SampledFrom([][]float64{nil, {0.5}, {0.01, 0.5, 1}, {0.5, 0.1}}).Draw(t, "waves")}
 			c.Digest = Digest(c.Text, "")
 			switch epoch.Draw(t, "on") {
@@ -111,7 +111,7 @@
 				}
 				on[name] = e
 			}
-			if len(o.Past) > mostPast || len(o.Done) > mostPast {
+			if len(o.Past) > maxPast || len(o.Done) > maxPast {
 				t.Fatalf("%d past, %d done", len(o.Past), len(o.Done))
 			}
 		}
@@ -199,10 +199,10 @@
 			t.Fatalf("step %d, %+v: %v, not %v", i, step.c, err, step.want)
 		}
 	}
-	for i := range mostNames + 10 {
+	for i := range maxNames + 10 {
 		_ = o.Apply(&Command{Kind: Hold, Name: fmt.Sprint("m", i), Life: 1})
 	}
-	if len(o.Holds) != mostNames {
+	if len(o.Holds) != maxNames {
 		t.Errorf("%d names are held", len(o.Holds))
 	}
 }
--- a/internal/judge/version/voter.go
+++ b/internal/judge/version/voter.go
@@ -81,8 +81,8 @@
 	confirmEvery = 0.25
 	// compactAfter commands the log begins anew with a copy of the order: at most 64 texts of 64 KiB until then, 4 MB.
 	compactAfter = 64
-	// mostAsked bounds the confirmations that are waited for.
-	mostAsked = 64
+	// maxAsked bounds the confirmations that are waited for.
+	maxAsked = 64
 	// epochStart is 2026-01-01 in Unix seconds, from which foundings are numbered.
 	epochStart = 1767225600
 )
@@ -240,7 +240,7 @@
 			}
 		}
 	}
-	if v.node != nil && v.lead == v.life && now >= v.nextConfirm && len(v.asked) < mostAsked {
+	if v.node != nil && v.lead == v.life && now >= v.nextConfirm && len(v.asked) < maxAsked {
 		v.nextConfirm = now + confirmEvery
 		v.drawn++
 		v.asked[v.drawn] = now
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -50,7 +50,7 @@
 	calmPart = 0.6                   // of what the cores can do, in the first part
 	replyIn  = 20 * time.Millisecond // of the tier below
 	conns    = 16
-	mostTry  = 3 // attempts a task
+	maxTry   = 3 // attempts a task
 	seed     = 20261201
 )
 
@@ -259,7 +259,7 @@
 // slack is how much longer than its time limit a caller waits for an answer before it counts as lost.
 const slack = 0.1
 
-// ask makes up to mostTry attempts within the task's time, and keeps away as long as it was advised to.
+// ask makes up to maxTry attempts within the task's time, and keeps away as long as it was advised to.
 func (c *caller) ask(ctx context.Context, of *stage, id string) (ending, int) {
 	from := time.Now()
 	for try := 1; ; try++ {
@@ -276,7 +276,7 @@
 			return abandoned, try
 		}
 		away := max(a.Say.Advice, 0.02*float64(try))
-		if left = of.limit - time.Since(from).Seconds() - away; try == mostTry || a.Say.Last || left <= of.work {
+		if left = of.limit - time.Since(from).Seconds() - away; try == maxTry || a.Say.Last || left <= of.work {
 			return rejected, try
 		}
 		time.Sleep(time.Duration(away * float64(time.Second)))
--- a/internal/lab/emulate/claims.go
+++ b/internal/lab/emulate/claims.go
@@ -15,10 +15,10 @@
 
 // Terms of the keys of an emulated fleet. Its holders are the first servers, 48 at the most.
 const (
-	keyWindow   = 20.0
-	keyLongest  = 1.0
-	mostHolders = 48
-	keyCopies   = 3
+	keyWindow  = 20.0
+	keyLongest = 1.0
+	maxHolders = 48
+	keyCopies  = 3
 	// repeats are drawn from so many of the latest keys, half of all tries.
 	lateKeys = 30
 )
@@ -64,7 +64,7 @@
 // newLedger makes one for a fleet's servers.
 func newLedger(names []string) *ledger {
 	terms := replica.Terms{Copies: keyCopies, Window: keyWindow, Longest: keyLongest}
-	for i, name := range names[:min(len(names), mostHolders)] {
+	for i, name := range names[:min(len(names), maxHolders)] {
 		terms.Members = append(terms.Members, replica.Member{Name: name, Zone: fmt.Sprint(i % 3), Weight: 1})
 	}
 	place, err := replica.NewPlace(terms)
--- a/internal/lab/emulate/play.go
+++ b/internal/lab/emulate/play.go
@@ -42,11 +42,11 @@
 	rules  int
 }
 
-// mostNotes bounds the broken rules that are told one by one.
-const mostNotes = 20
+// maxNotes bounds the broken rules that are told one by one.
+const maxNotes = 20
 
 func (t *tally) note(what string) {
-	if t.rules++; len(t.broken) < mostNotes {
+	if t.rules++; len(t.broken) < maxNotes {
 		t.broken = append(t.broken, what)
 	}
 }
--- a/internal/lab/emulate/versions.go
+++ b/internal/lab/emulate/versions.go
@@ -66,13 +66,13 @@
 }
 
 // Terms of the emulated fleets: those of the operator's file where it says nothing.
-var versionTerms = member.Terms{Lease: 6, Behind: 10, MostOut: 0.25, Forget: 600}
+var versionTerms = member.Terms{Lease: 6, Behind: 10, MaxOut: 0.25, Forget: 600}
 
 const (
 	// healWithin is how long a healed fleet has to agree: some leases, and a founding.
 	healWithin = 60.0
-	// mostHeld messages wait for a server that is stopped, as a socket's buffer holds some.
-	mostHeld = 200
+	// maxHeld messages wait for a server that is stopped, as a socket's buffer holds some.
+	maxHeld = 200
 )
 
 // talker is one server of it.
@@ -262,7 +262,7 @@
 		return
 	}
 	if s.asleep {
-		if len(s.held) < mostHeld {
+		if len(s.held) < maxHeld {
 			s.held = append(s.held, b)
 		}
 		return
@@ -423,7 +423,7 @@
 				away++
 			}
 		}
-		if away > int(versionTerms.MostOut*float64(len(t.servers))) {
+		if away > int(versionTerms.MaxOut*float64(len(t.servers))) {
 			t.row.TooMany++
 		}
 	}
--- a/internal/lab/entry/entry.go
+++ b/internal/lab/entry/entry.go
@@ -96,8 +96,8 @@
 	earnFor = 4500 * time.Millisecond
 	// strangerStays is for how long a stranger holds its connection after its health check.
 	strangerStays = 2 * time.Second
-	// mostHeld bounds the strangers that hold connections, as this process has descriptors too.
-	mostHeld = 8000
+	// maxHeld bounds the strangers that hold connections, as this process has descriptors too.
+	maxHeld = 8000
 )
 
 func settings() shale.Told {
@@ -143,7 +143,7 @@
 		return row, err
 	}
 	from, end := time.Now(), time.Now().Add(time.Duration(p.Seconds*float64(time.Second)))
-	strangers := &strangers{addr: s.Addr, end: end, slots: make(chan struct{}, mostHeld)}
+	strangers := &strangers{addr: s.Addr, end: end, slots: make(chan struct{}, maxHeld)}
 	var wait sync.WaitGroup
 	wait.Add(1)
 	go func() {
--- a/internal/lab/entry/restart.go
+++ b/internal/lab/entry/restart.go
@@ -67,7 +67,7 @@
 		return row, fmt.Errorf("n1 was told nothing within %s", patience)
 	}
 	fmt.Fprintf(p.Say, "replica-callers %s: n1 is back cold; %g strangers a second for %g s\n", told, p.Strangers, p.Seconds)
-	crowd := &strangers{addr: s.Addr, end: time.Now().Add(time.Duration(p.Seconds * float64(time.Second))), slots: make(chan struct{}, mostHeld)}
+	crowd := &strangers{addr: s.Addr, end: time.Now().Add(time.Duration(p.Seconds * float64(time.Second))), slots: make(chan struct{}, maxHeld)}
 	var wait sync.WaitGroup
 	wait.Go(func() { crowd.run(ctx, p.Strangers) })
 	time.Sleep(500 * time.Millisecond) // until the strangers have all that there is
--- a/internal/lab/faults/relay.go
+++ b/internal/lab/faults/relay.go
@@ -171,12 +171,12 @@
 	}
 }
 
-// mostCut is how long a connection stays half open in a cut before the relay gives it up, as a host's own patience does.
-const mostCut = 30 * time.Second
+// maxCut is how long a connection stays half open in a cut before the relay gives it up, as a host's own patience does.
+const maxCut = 30 * time.Second
 
 // open waits until a direction is not cut; false where that takes too long.
 func (n *Net) open(from, to string) bool {
-	for end := time.Now().Add(mostCut); time.Now().Before(end); {
+	for end := time.Now().Add(maxCut); time.Now().Before(end); {
 		if l, _, _, _ := n.link(from, to, 0); !l.Cut {
 			return true
 		}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -261,8 +261,8 @@
 	return nil
 }
 
-// mostLines of a server's log are kept for the error when it ends before its time.
-const mostLines = 20
+// maxLines of a server's log are kept for the error when it ends before its time.
+const maxLines = 20
 
 func (s *Server) listen(process *exec.Cmd, ended chan struct{}, said io.Reader, log io.Writer) {
 	lines := bufio.NewScanner(said)
@@ -276,7 +276,7 @@
 			s.shape.Hear(s.Name, line)
 		}
 		s.mu.Lock()
-		if len(s.last) == mostLines {
+		if len(s.last) == maxLines {
 			s.last = s.last[1:]
 		}
 		s.last = append(s.last, line)
--- a/internal/lab/idle/expire.go
+++ b/internal/lab/idle/expire.go
@@ -38,8 +38,8 @@
 	return all, nil
 }
 
-// mostExpiry is how long all idle connections may take to end, in seconds.
-const mostExpiry = 120
+// maxExpiry is how long all idle connections may take to end, in seconds.
+const maxExpiry = 120
 
 func (p *Plan) expire(ctx context.Context, n int) (phases []Phase, err error) {
 	b, err := p.start(ctx, p.Idle)
@@ -80,14 +80,14 @@
 		return nil, err
 	}
 	p.say("%d connections: their time is over", n)
-	for end := time.Now().Add(mostExpiry * time.Second); open > 0 && time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(maxExpiry * time.Second); open > 0 && time.Now().Before(end) && ctx.Err() == nil; {
 		pause(ctx, 0.05)
 		if open, _, err = b.standing(); err != nil {
 			return nil, err
 		}
 	}
 	if open > 0 {
-		return nil, fmt.Errorf("%d connections stand %d s after their time", open, mostExpiry)
+		return nil, fmt.Errorf("%d connections stand %d s after their time", open, maxExpiry)
 	}
 	pause(ctx, 0.5) // what was sent meanwhile has its answer
 	if _, err = b.phase(l, "during", phases[0].Connections, &phases); err != nil {
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -43,15 +43,15 @@
 // Latencies are kept from a microsecond to a minute, to three digits: a histogram of 200 KB.
 const (
 	leastMicros = 1
-	mostMicros  = 60e6
+	maxMicros   = 60e6
 	digits      = 3
 )
 
 // NewHistogram makes an empty histogram of microseconds.
-func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, digits) }
+func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, maxMicros, digits) }
 
-// mostOpen is how many tasks may be open on one connection, by the protocol.
-const mostOpen = 32
+// maxOpen is how many tasks may be open on one connection, by the protocol.
+const maxOpen = 32
 
 // Load is a load that goes on until it is stopped.
 type Load struct {
@@ -168,7 +168,7 @@
 func (c *conn) task(n int, due time.Time, body []byte) bool {
 	number := c.Next()
 	c.mu.Lock()
-	full := len(c.due) >= mostOpen
+	full := len(c.due) >= maxOpen
 	if !full {
 		c.due[number] = due
 	}
@@ -206,7 +206,7 @@
 	switch a.End {
 	case rpc.Finished, rpc.WellSaid:
 		l.took.Finished++
-		_ = l.took.Latency.RecordValue(max(leastMicros, min(took.Microseconds(), mostMicros)))
+		_ = l.took.Latency.RecordValue(max(leastMicros, min(took.Microseconds(), maxMicros)))
 	case rpc.Rejected:
 		l.took.Rejected++
 	default:
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -11,8 +11,8 @@
 	Out   int        // buffers given and not back yet
 }
 
-// mostFree bounds the buffers kept for use again: 2 MiB, about what a burst of 200 tasks takes.
-const mostFree = 256
+// maxFree bounds the buffers kept for use again: 2 MiB, about what a burst of 200 tasks takes.
+const maxFree = 256
 
 // Get gives an empty buffer.
 func (p *Pool) Get() []byte {
@@ -31,7 +31,7 @@
 		return
 	}
 	p.Out--
-	if len(p.free) < mostFree {
+	if len(p.free) < maxFree {
 		p.free = append(p.free, b[:0])
 	}
 }
@@ -71,14 +71,14 @@
 		p.Put(b)
 		o.parts[i] = nil
 	}
-	if cap(o.parts) > 0 && cap(o.parts) <= mostParts && len(p.lists) < mostFree {
+	if cap(o.parts) > 0 && cap(o.parts) <= maxParts && len(p.lists) < maxFree {
 		p.lists = append(p.lists, o.parts[:0])
 	}
 	o.parts = nil
 }
 
-// mostParts bounds the lists kept for use again: what a burst made longer is let go.
-const mostParts = 32
+// maxParts bounds the lists kept for use again: what a burst made longer is let go.
+const maxParts = 32
 
 // Shelf gives short lists of tasks and takes them back. The zero Shelf is empty.
 type Shelf struct{ free [][]*Task }
@@ -95,7 +95,7 @@
 
 // Put takes a list back; nil is let go, and so is one that a burst made long.
 func (s *Shelf) Put(l []*Task) {
-	if l != nil && cap(l) <= 32 && len(s.free) < mostFree {
+	if l != nil && cap(l) <= 32 && len(s.free) < maxFree {
 		clear(l)
 		s.free = append(s.free, l[:0])
 	}
--- a/internal/memory/wheel.go
+++ b/internal/memory/wheel.go
@@ -14,14 +14,14 @@
 	// ticksPerSecond makes the lowest slots a millisecond wide, which is as finely as the Go runtime wakes a
 	// loop: what falls into one of them is put in exact order only when it is next.
 	ticksPerSecond = 1024
-	// mostLooked bounds how many timers of one slot Next looks at for the exact time of the first.
-	mostLooked = 64
+	// maxLooked bounds how many timers of one slot Next looks at for the exact time of the first.
+	maxLooked = 64
 	// movesAFiring is how many timers may be moved down a level, at some 20 ns each, for one that goes off, which takes a
 	// microsecond and more. It bounds a turn in which a slot of a high level, with all that is due in the next
 	// hours, comes up.
 	movesAFiring = 32
-	// mostSpare bounds the places kept for use again when all timers are gone.
-	mostSpare = 4096
+	// maxSpare bounds the places kept for use again when all timers are gone.
+	maxSpare = 4096
 )
 
 const (
@@ -146,7 +146,7 @@
 	}
 	i := t.ends[slot].first
 	for looked := 0; i > 0; looked++ {
-		if looked == mostLooked {
+		if looked == maxLooked {
 			return seconds(start)
 		}
 		next = min(next, t.places[i-1].when)
@@ -326,7 +326,7 @@
 	p := &t.places[i]
 	*p = timer{slot: nowhere, next: t.free, turn: p.turn + 1}
 	t.free = i + 1
-	if t.n--; t.n == 0 && len(t.places) > mostSpare {
+	if t.n--; t.n == 0 && len(t.places) > maxSpare {
 		t.places, t.heap, t.late, t.free = nil, nil, nil, 0
 	}
 }
@@ -369,14 +369,14 @@
 	}
 }
 
-// mostTick keeps every time, the infinite one too, within the levels.
-const mostTick = 1 << 62
+// maxTick keeps every time, the infinite one too, within the levels.
+const maxTick = 1 << 62
 
 func tick(when float64) int64 {
-	if x := when * ticksPerSecond; x < mostTick {
+	if x := when * ticksPerSecond; x < maxTick {
 		return int64(max(x, 0))
 	}
-	return mostTick
+	return maxTick
 }
 
 func seconds(tick int64) float64 { return float64(tick) / ticksPerSecond }
--- a/internal/peers/budgets.go
+++ b/internal/peers/budgets.go
@@ -26,8 +26,8 @@
 	Answer       uint64 // of the Allowed by which it goes
 }
 
-// mostUses lists of them wait for the goroutine; a newer one comes soon.
-const mostUses = 4
+// maxUses lists of them wait for the goroutine; a newer one comes soon.
+const maxUses = 4
 
 // budgets is the part's state of them.
 type budgets struct {
@@ -143,8 +143,8 @@
 	Epoch   version.Epoch
 }
 
-// mostBudgetsTold bounds what operators are shown.
-const mostBudgetsTold = 1000
+// maxBudgetsTold bounds what operators are shown.
+const maxBudgetsTold = 1000
 
 // BudgetState tells how budgets stand here.
 func (f *Peers) BudgetState() (*BudgetState, error) {
@@ -153,12 +153,12 @@
 		s := &BudgetState{Now: now, Leader: f.self.Leader(), Epoch: f.acts.Epoch}
 		if b := f.budgets; b != nil {
 			for _, a := range b.holder.Held(now) {
-				if len(s.Here) < mostBudgetsTold {
+				if len(s.Here) < maxBudgetsTold {
 					s.Here = append(s.Here, a)
 				}
 			}
 			if s.Leads = b.granter != nil && f.confirmed(now); s.Leads {
-				s.Granted = b.granter.Accounts(now, mostBudgetsTold)
+				s.Granted = b.granter.Accounts(now, maxBudgetsTold)
 			}
 		}
 		done <- s
--- a/internal/peers/callers.go
+++ b/internal/peers/callers.go
@@ -37,10 +37,10 @@
 	askCallersEvery, askCallersFor = 0.2, 5.0
 	// tellEvery is how often others are told, and briefTo of them: with three, a caller known to one server is known to a fourth of what is left after two die.
 	tellEvery = 4.0
-	// mostVouchers go in one answer: 16 lists of 256 callers are 100 KB.
-	mostVouchers = 16
-	// mostEarnings wait for the goroutine; a newer list comes soon.
-	mostEarnings = 2
+	// maxVouchers go in one answer: 16 lists of 256 callers are 100 KB.
+	maxVouchers = 16
+	// maxEarnings wait for the goroutine; a newer list comes soon.
+	maxEarnings = 2
 )
 
 // Earned takes the callers known at this server's door, from the serving loop.
@@ -103,7 +103,7 @@
 		return
 	}
 	if m.AskCallers {
-		list := c.vouchers.Some(now, m.From, mostVouchers-1)
+		list := c.vouchers.Some(now, m.From, maxVouchers-1)
 		if len(c.own.Earned) > 0 {
 			list = append(list, c.own)
 		}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -12,8 +12,8 @@
 	"swiftcourse/internal/judge/version"
 )
 
-// mostState bounds an answer that is read, in bytes: the accounts of a thousand servers.
-const mostState = 16 << 20
+// maxState bounds an answer that is read, in bytes: the accounts of a thousand servers.
+const maxState = 16 << 20
 
 // AskState asks the server whose Control listens there what it knows of the fleet; since leaves out versions before that epoch, "" none.
 func AskState(addr, since string) (*State, error) {
@@ -60,7 +60,7 @@
 		return err
 	}
 	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, mostState))
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxState))
 	if err != nil {
 		return err
 	}
--- a/internal/peers/control.go
+++ b/internal/peers/control.go
@@ -56,8 +56,8 @@
 // Times and sizes of the operators' door. It has no sign-in: it listens where the operator says, which is meant to be the machine itself.
 const (
 	controlTimeout = 20 * time.Second
-	mostControl    = 128 << 10 // bytes of a command
-	mostControls   = 8         // requests at a time
+	maxControl     = 128 << 10 // bytes of a command
+	maxControls    = 8         // requests at a time
 )
 
 // Control answers operators' requests, as JSON over HTTP: GET /state?since=EPOCH, GET /budgets, GET /counts, GET /plans, POST /command.
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	places := make(chan struct{}, mostControls)
+	places := make(chan struct{}, maxControls)
 	answer := func(w http.ResponseWriter, what any, err error) {
 		w.Header().Set("Content-Type", "application/json")
 		if err != nil {
@@ -102,7 +102,7 @@
 	})
 	mux.HandleFunc("POST /command", func(w http.ResponseWriter, r *http.Request) {
 		var c version.Command
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostControl)).Decode(&c); err != nil {
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl)).Decode(&c); err != nil {
 			answer(w, nil, err)
 			return
 		}
--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -48,8 +48,8 @@
 }
 
 const (
-	// mostWords wait for the goroutine: two for each claim that the loop may have under way, so that there is always room.
-	mostWords = 4096
+	// maxWords wait for the goroutine: two for each claim that the loop may have under way, so that there is always room.
+	maxWords = 4096
 	// addrsEvery is how often it is looked up where holders listen, in seconds.
 	addrsEvery = 0.5
 )
--- a/internal/peers/counts.go
+++ b/internal/peers/counts.go
@@ -24,8 +24,8 @@
 	said   bool   // the log was told that it may lack something
 }
 
-// mostTallies lists of the loop wait for the goroutine. It keeps what finds no room, and tells it with the next.
-const mostTallies = 4
+// maxTallies lists of the loop wait for the goroutine. It keeps what finds no room, and tells it with the next.
+const maxTallies = 4
 
 // Tallied takes what the serving loop counted, from any goroutine; false where it has to be told again.
 func (f *Peers) Tallied(list []stance.Count) bool {
--- a/internal/peers/health.go
+++ b/internal/peers/health.go
@@ -34,13 +34,13 @@
 }
 
 const (
-	// decideEvery is how often it is judged, and sayEvery how often others hear: three of them each time, with the newest words of mostPassed servers,
+	// decideEvery is how often it is judged, and sayEvery how often others hear: three of them each time, with the newest words of maxPassed servers,
 	// so that a thousand have heard of one within a second and a half.
-	decideEvery, sayEvery, mostPassed = 0.1, 0.25, 16
-	// mostCounts wait for the goroutine.
-	mostCounts = 16
-	// mostZones bounds whose zones are known.
-	mostZones = 4096
+	decideEvery, sayEvery, maxPassed = 0.1, 0.25, 16
+	// maxCounts wait for the goroutine.
+	maxCounts = 16
+	// maxZones bounds whose zones are known.
+	maxZones = 4096
 )
 
 // Called takes what became of the loop's calls, from any goroutine.
@@ -70,7 +70,7 @@
 		return
 	}
 	for _, w := range m.Health {
-		if b.judge.Hear(now, w) && (len(b.zones) < mostZones || b.zones[w.Name] != "") {
+		if b.judge.Hear(now, w) && (len(b.zones) < maxZones || b.zones[w.Name] != "") {
 			b.zones[w.Name] = w.Zone
 		}
 	}
@@ -105,10 +105,10 @@
 	}
 	if now >= b.sayAt+sayEvery {
 		b.sayAt = now
-		if len(b.zones) >= mostZones {
+		if len(b.zones) >= maxZones {
 			clear(b.zones) // names come and go for ever; those that are there say it again
 		}
-		if words := b.judge.Say(now, f.life, mostPassed); len(words) > 0 {
+		if words := b.judge.Say(now, f.life, maxPassed); len(words) > 0 {
 			for _, addr := range f.net.Some(briefTo, f.chance) {
 				f.send(addr, &wire.Message{Health: words})
 			}
--- a/internal/peers/network.go
+++ b/internal/peers/network.go
@@ -24,10 +24,10 @@
 }
 
 const (
-	mostPacket = 1300 // bytes that go as one packet on any path
-	// mostBusy large messages go to one address at a time, and mostBusyAll to all: a peer that does not read holds up nobody.
-	mostBusy, mostBusyAll = 2, 64
-	talkTimeout           = 2 * time.Second
+	maxPacket = 1300 // bytes that go as one packet on any path
+	// maxBusy large messages go to one address at a time, and maxBusyAll to all: a peer that does not read holds up nobody.
+	maxBusy, maxBusyAll = 2, 64
+	talkTimeout         = 2 * time.Second
 )
 
 func memberName(name string, life uint64) string { return fmt.Sprintf("%s/%016x", name, life) }
@@ -97,7 +97,7 @@
 
 // Send brings a message on its way; it may be lost, as on any network.
 func (n *network) Send(addr string, b []byte) {
-	if len(b) <= mostPacket {
+	if len(b) <= maxPacket {
 		_ = n.list.SendToAddress(memberlist.Address{Addr: addr}, b)
 		return
 	}
@@ -107,7 +107,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy[addr] >= mostBusy || n.busy[""] >= mostBusyAll {
+	if n.busy[addr] >= maxBusy || n.busy[""] >= maxBusyAll {
 		return
 	}
 	n.busy[addr]++
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,8 +58,8 @@
 }
 
 const (
-	mostInbox   = 1024 // messages that wait for the goroutine; what comes beyond that is dropped, as the network may
-	mostDone    = 64   // commands of operators that wait for their end
+	maxInbox    = 1024 // messages that wait for the goroutine; what comes beyond that is dropped, as the network may
+	maxDone     = 64   // commands of operators that wait for their end
 	briefEvery  = 2.0  // seconds between two brief accounts
 	briefTo     = 3    // others that are told of each: with as many holders of the last word, two may die with it
 	wantEvery   = 0.3
@@ -155,9 +155,9 @@
 // Start begins to listen, and to talk. The life is drawn from the seed, which is new with each start.
 func Start(p Plan) (*Peers, error) {
 	chance := rand.New(rand.NewPCG(uint64(p.Seed), uint64(time.Now().UnixNano()))) // a restart in the same instant is another life all the same
-	f := &Peers{inbox: make(chan *wire.Message, mostInbox), asks: make(chan func(float64), 16),
-		words: make(chan Word, mostWords), earnings: make(chan []door.Earned, mostEarnings), uses: make(chan []Use, mostUses),
-		calls: make(chan stance.Calls, mostCounts), tallies: make(chan []stance.Count, mostTallies), quit: make(chan struct{}), ended: make(chan struct{})}
+	f := &Peers{inbox: make(chan *wire.Message, maxInbox), asks: make(chan func(float64), 16),
+		words: make(chan Word, maxWords), earnings: make(chan []door.Earned, maxEarnings), uses: make(chan []Use, maxUses),
+		calls: make(chan stance.Calls, maxCounts), tallies: make(chan []stance.Count, maxTallies), quit: make(chan struct{}), ended: make(chan struct{})}
 	life := chance.Uint64() | 1
 	var err error
 	if f.talk, err = listen(&p, life, f.receive); err != nil {
@@ -509,7 +509,7 @@
 		}
 		name = f.voters[f.ask%len(f.voters)]
 		f.ask++
-	} else if f.self.Unheard() > mostUnheard {
+	} else if f.self.Unheard() > maxUnheard {
 		f.self.Lost(now)
 	}
 	if name == f.Name {
@@ -519,8 +519,8 @@
 	f.send(f.Voters[name], &wire.Message{Question: &q})
 }
 
-// mostUnheard questions to one leader have no answer before another voter is asked.
-const mostUnheard = 2
+// maxUnheard questions to one leader have no answer before another voter is asked.
+const maxUnheard = 2
 
 // bringUp gets the version that this server has to act on.
 func (f *Part) bringUp(now float64) {
@@ -631,15 +631,15 @@
 // forward takes an operator's command that came by another server, or here.
 func (f *Part) forward(now float64, m *wire.Message) {
 	c := m.Do
-	if f.pending[c.ID] != nil || c.ID == 0 || len(f.pending) >= mostDone {
+	if f.pending[c.ID] != nil || c.ID == 0 || len(f.pending) >= maxDone {
 		return
 	}
 	from := *m
-	f.pending[c.ID] = &pending{command: c, until: now + mostWait, tell: func(d wire.Done) { f.reply(&from, &wire.Message{Done: &d}) }}
+	f.pending[c.ID] = &pending{command: c, until: now + maxWait, tell: func(d wire.Done) { f.reply(&from, &wire.Message{Done: &d}) }}
 }
 
-// mostWait is how long an operator waits for a command.
-const mostWait = 10.0
+// maxWait is how long an operator waits for a command.
+const maxWait = 10.0
 
 // again repeats commands until their end is known.
 func (f *Part) again(now float64) {
@@ -674,8 +674,8 @@
 		f.count()
 		t.Copies = f.CopiesState()
 		t.Accounts = append(f.book.Heard(m.Ask.Names), f.book.Own())
-		if len(t.Accounts) > mostTold {
-			t.Accounts = t.Accounts[len(t.Accounts)-mostTold:]
+		if len(t.Accounts) > maxTold {
+			t.Accounts = t.Accounts[len(t.Accounts)-maxTold:]
 		}
 	}
 	known := &version.Order{Base: version.Version{Epoch: version.At(m.Ask.Founding, 0)}, Count: m.Ask.Count}
@@ -693,8 +693,8 @@
 	f.reply(m, &wire.Message{Told: t})
 }
 
-// mostTold accounts go in one answer.
-const mostTold = 500
+// maxTold accounts go in one answer.
+const maxTold = 500
 
 func (f *Part) gathered(m *wire.Message) {
 	t := m.Told
@@ -765,7 +765,7 @@
 	f.gathers[f.numbers] = g
 	var gone []string
 	for name := range f.order.Holds {
-		if name != f.Name && !f.net.Knows(name) && len(gone) < mostTold {
+		if name != f.Name && !f.net.Knows(name) && len(gone) < maxTold {
 			gone = append(gone, name)
 		}
 	}
@@ -803,14 +803,14 @@
 			return d.Newest, errors.New(d.Refused)
 		}
 		return d.Newest, nil
-	case <-time.After(time.Duration((mostWait + 2) * float64(time.Second))):
+	case <-time.After(time.Duration((maxWait + 2) * float64(time.Second))):
 		return 0, errors.New("the fleet's part of this server is down")
 	}
 }
 
 // Order asks for an operator's command, and tells how it ended.
 func (f *Part) Order(now float64, c version.Command, tell func(wire.Done)) {
-	if len(f.pending) >= mostDone {
+	if len(f.pending) >= maxDone {
 		tell(wire.Done{Refused: "too many commands are under way"})
 		return
 	}
@@ -818,7 +818,7 @@
 	if c.On == 0 {
 		c.On = f.order.Newest()
 	}
-	f.pending[c.ID] = &pending{command: &c, until: now + mostWait, tell: tell}
+	f.pending[c.ID] = &pending{command: &c, until: now + maxWait, tell: tell}
 }
 
 // Known is the order as this process knows it; it is not to be changed.
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -17,19 +17,19 @@
 
 // Store holds records, bounded in number and bytes.
 type Store struct {
-	slots             [Slots]map[Key]*entry
-	sums              [Slots]uint64
-	queue             queue // by when they are forgotten
-	bytes             int
-	mostEntries, most int
-	scratch           []byte
-	Dropped           int // results that were dropped to make room
-	Flipped           int // records that had changed where they were held
+	slots            [Slots]map[Key]*entry
+	sums             [Slots]uint64
+	queue            queue // by when they are forgotten
+	bytes            int
+	maxEntries, most int
+	scratch          []byte
+	Dropped          int // results that were dropped to make room
+	Flipped          int // records that had changed where they were held
 }
 
 // NewStore makes an empty one.
-func NewStore(mostEntries, mostBytes int) *Store {
-	return &Store{mostEntries: mostEntries, most: mostBytes}
+func NewStore(maxEntries, maxBytes int) *Store {
+	return &Store{maxEntries: maxEntries, most: maxBytes}
 }
 
 // Len counts the records, Bytes what they take.
@@ -59,7 +59,7 @@
 	grows := e.size
 	if old != nil {
 		grows -= old.size
-	} else if len(s.queue) >= s.mostEntries {
+	} else if len(s.queue) >= s.maxEntries {
 		return false
 	}
 	if over := s.bytes + grows - s.most; over > 0 && !s.shed(over, r.Key) && old == nil {
@@ -86,12 +86,12 @@
 	e.sum = e.Record.sum(s.scratch[:0])
 }
 
-// mostLooked bounds how many records are looked through for results to drop, so that a full store costs each newcomer little.
-const mostLooked = 256
+// maxLooked bounds how many records are looked through for results to drop, so that a full store costs each newcomer little.
+const maxLooked = 256
 
 // shed drops results, those next to be forgotten first, until so many bytes are free.
 func (s *Store) shed(over int, but Key) bool {
-	for i := 0; i < len(s.queue) && i < mostLooked && over > 0; i++ { // the front of a heap is roughly its oldest part
+	for i := 0; i < len(s.queue) && i < maxLooked && over > 0; i++ { // the front of a heap is roughly its oldest part
 		e := s.queue[i]
 		if e.Key == but {
 			continue
--- a/internal/replica/store_test.go
+++ b/internal/replica/store_test.go
@@ -10,8 +10,8 @@
 // TestStoreAgainstAPlainModel holds it against a map, by what it keeps, its sums and its bounds.
 func TestStoreAgainstAPlainModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const most, mostBytes = 12, 8000
-		s := NewStore(most, mostBytes)
+		const most, maxBytes = 12, 8000
+		s := NewStore(most, maxBytes)
 		model := map[Key]Record{}
 		now, full, dropped := 0.0, 0, 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -49,7 +49,7 @@
 				}
 				sums[k.Slot()] ^= r.sum(nil)
 			}
-			if s.Len() != len(model) || s.Len() > most || s.sums != sums || s.Bytes() > mostBytes+900 {
+			if s.Len() != len(model) || s.Len() > most || s.sums != sums || s.Bytes() > maxBytes+900 {
 				t.Fatalf("%d records of %d, %d bytes; the sums agree: %t", s.Len(), len(model), s.Bytes(), s.sums == sums)
 			}
 		}
--- a/internal/serve/accept.go
+++ b/internal/serve/accept.go
@@ -59,10 +59,10 @@
 }
 
 const (
-	// backOff is how long to wait after a vain accept, doubled up to backOffMost: short beside a second, in which those known are to get
+	// backOff is how long to wait after a vain accept, doubled up to maxBackOff: short beside a second, in which those known are to get
 	// in, and long beside what a try costs.
-	backOff     = 2 * time.Millisecond
-	backOffMost = 50 * time.Millisecond
+	backOff    = 2 * time.Millisecond
+	maxBackOff = 50 * time.Millisecond
 	// hearFor is how long one that is accepted by the spare descriptor has for its first message.
 	hearFor = 10 * time.Millisecond
 	// paceBurst is for how long, in seconds, the pace is saved up: half of all balancers may return together, and
@@ -198,7 +198,7 @@
 			politely(g, hearFor)
 		}
 		time.Sleep(wait)
-		wait = min(2*wait, backOffMost)
+		wait = min(2*wait, maxBackOff)
 	}
 }
 
@@ -328,15 +328,15 @@
 	}
 }
 
-// mostSqueezes bounds how often others have to go for one.
-const mostSqueezes = 5
+// maxSqueezes bounds how often others have to go for one.
+const maxSqueezes = 5
 
 // hand gives a connection to the loop, where OnOpen meets it. Where there is no descriptor for that, others have to go first.
 func (a *acceptor) hand(g acceptedSocket) {
 	a.takeSpare()
 	c, err := connOf(g)
 	for n := 0; err != nil; n++ {
-		if n == mostSqueezes {
+		if n == maxSqueezes {
 			politely(g, 0)
 			<-a.pending
 			return
@@ -373,7 +373,7 @@
 	}
 	select {
 	case <-done:
-	case <-time.After(backOffMost): // the server ends, or stands still
+	case <-time.After(maxBackOff): // the server ends, or stands still
 	}
 }
 
--- a/internal/serve/catalogue.go
+++ b/internal/serve/catalogue.go
@@ -46,8 +46,8 @@
 }
 
 const (
-	// mostCarried bounds what a pooled connection remembers of its calls; a dial for every 32nd call is not felt.
-	mostCarried = 32
+	// maxCarried bounds what a pooled connection remembers of its calls; a dial for every 32nd call is not felt.
+	maxCarried = 32
 	// restFor is how long an idle pooled connection is kept: the other side may forget it, and a call that finds that out
 	// is cut. It closes all after 10 s; under traffic the latest ones are used within a tenth of a second.
 	restFor = 1.0
@@ -269,7 +269,7 @@
 		s.processor.reply(c.task, r.Body, false)
 	}
 	s.callDone(c, r.Outcome)
-	if l.left || len(l.carried) >= mostCarried {
+	if l.left || len(l.carried) >= maxCarried {
 		l.leave()
 		return
 	}
--- a/internal/serve/claims.go
+++ b/internal/serve/claims.go
@@ -34,8 +34,8 @@
 }
 
 const (
-	// mostWaiting tasks are claimed at a time: at 1 ms each that is a million a second, and 4 MB of bodies at the most.
-	mostWaiting = 1024
+	// maxWaiting tasks are claimed at a time: at 1 ms each that is a million a second, and 4 MB of bodies at the most.
+	maxWaiting = 1024
 	// ruleSlush of a task's wait is left for its answer, and lateRule after that the fleet's part is taken for dead: it may have been granted.
 	ruleSlush, lateRule = 0.02, 0.01
 )
@@ -63,7 +63,7 @@
 		limit = min(limit, t.Wait)
 	}
 	left := limit - max(0, now-t.Came) - ruleSlush
-	if len(k.waiting) >= mostWaiting || !k.fleet.Claim(t.ID, s.start.StageNames[t.Stage], t.Subject, left) {
+	if len(k.waiting) >= maxWaiting || !k.fleet.Claim(t.ID, s.start.StageNames[t.Stage], t.Subject, left) {
 		s.reject(t, s.awayFor(), false)
 		return true
 	}
--- a/internal/serve/guard.go
+++ b/internal/serve/guard.go
@@ -29,14 +29,14 @@
 // lobbyPlaces are as many as the file says, and at most a sixteenth of the descriptors for balancers; so many connections may be on their
 // way to the loop too, each with two descriptors for a moment.
 func (s *Server) lobbyPlaces() int {
-	most, _ := s.mostPeers()
+	most, _ := s.maxPeers()
 	return max(1, min(s.lobby, most/16))
 }
 
 // rules are the door's, in its words.
 func (s *Server) rules(c *life.Conf) door.Rules {
 	places := s.lobbyPlaces()
-	most, _ := s.mostPeers()
+	most, _ := s.maxPeers()
 	most -= 4 * places // twice in the lobby, and twice on their way
 	return door.Rules{Most: most, Reserve: int(float64(most) * float64(c.Reserve)), PerAddress: c.PerAddress, PerPrefix: c.PerPrefix,
 		ArrivalsAddress: c.RateAddress, ArrivalsPrefix: c.RatePrefix, V4: c.V4, V6: c.V6, Named: c.Known, Lobby: places,
--- a/internal/serve/idle_test.go
+++ b/internal/serve/idle_test.go
@@ -73,14 +73,14 @@
 	turns := 0
 	for before := 0; did < n; before = did {
 		_ = s.turn()
-		if turns++; did-before > 100 || turns > n/mostTimers+n/200 { // some turns only bring them down to the lowest level
+		if turns++; did-before > 100 || turns > n/maxTimers+n/200 { // some turns only bring them down to the lowest level
 			t.Fatalf("%d timers in turn %d", did-before, turns)
 		}
 		if did < n && s.alarmAt > s.now() {
 			t.Fatalf("the rest waits for %v s", s.alarmAt-s.now())
 		}
 	}
-	if s.timers.Len() != 0 || turns < n/mostTimers {
+	if s.timers.Len() != 0 || turns < n/maxTimers {
 		t.Errorf("%d turns, %d timers left", turns, s.timers.Len())
 	}
 }
@@ -283,7 +283,7 @@
 	}{{512, 64 << 20, 352, "descriptors"}, {384, 48 << 20, 256, "descriptors"}, {20000, 192 << 20, 19712, "descriptors"},
 		{20000, 48 << 20, 48 << 20 / 4 / idleCost, "memory"}} {
 		s := New(&life.Start{Sockets: c.sockets, Memory: c.memory}, nil)
-		if most, by := s.mostPeers(); most != c.want || by != c.becauseOf {
+		if most, by := s.maxPeers(); most != c.want || by != c.becauseOf {
 			t.Errorf("%d descriptors, %d bytes: %d by %s", c.sockets, c.memory, most, by)
 		}
 	}
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -30,7 +30,7 @@
 }
 
 const (
-	mostOpen = 32 // tasks on one connection, by the protocol
+	maxOpen = 32 // tasks on one connection, by the protocol
 	// spareSockets are kept from balancers and pooled connections: the links, the listener, the runtime's own, and a second
 	// descriptor for each of some dials while the loop takes them over.
 	spareSockets = 32
@@ -40,13 +40,13 @@
 	// idleCost is the memory in bytes of a connection that says nothing, measured, see docs/idle.md; a quarter of the memory
 	// may be spent on such.
 	idleCost = 1300
-	// mostTried bounds how many are looked at for one that may go.
-	mostTried = 16
+	// maxTried bounds how many are looked at for one that may go.
+	maxTried = 16
 )
 
-// mostPeers is how many connections balancers may hold, and what bounds it: what is left of the descriptors, which is over half, as
+// maxPeers is how many connections balancers may hold, and what bounds it: what is left of the descriptors, which is over half, as
 // balancers may open that; or memory.
-func (s *Server) mostPeers() (most int, by string) {
+func (s *Server) maxPeers() (most int, by string) {
 	most, by = s.start.Sockets-spareSockets-s.maxPooled(), "descriptors"
 	if n := int(s.start.Memory / 4 / idleCost); n < most && s.start.Memory > 0 {
 		return n, "memory"
@@ -61,7 +61,7 @@
 		return p.arrived()
 	}
 	s.door.Open(p.name.Slot(), s.now())
-	if most, _ := s.mostPeers(); s.peers.Len() <= most {
+	if most, _ := s.maxPeers(); s.peers.Len() <= most {
 		return nil
 	}
 	s.counts.evicted++
@@ -84,7 +84,7 @@
 	tried := 0
 	for slot := range slots {
 		p := s.peers.At(slot)
-		if tried == mostTried {
+		if tried == maxTried {
 			break
 		}
 		if p == newcomer {
@@ -213,8 +213,8 @@
 		bad = fmt.Errorf("unknown tenant %.40q", m.Tenant)
 	case m.NoWait && s.start.Site.TellsWait:
 		bad = errors.New("its wait is missing")
-	case len(p.open) >= mostOpen:
-		bad = fmt.Errorf("over %d tasks open", mostOpen)
+	case len(p.open) >= maxOpen:
+		bad = fmt.Errorf("over %d tasks open", maxOpen)
 	case math.Abs(m.Came-now) > clockApart:
 		bad = fmt.Errorf("it came %.0f s from now", m.Came-now)
 	case s.tasks.Get(m.ID) != nil:
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -262,7 +262,7 @@
 	if now >= s.alarmAt {
 		s.alarmAt = math.Inf(1)
 	}
-	more := !s.timers.Ripe(now, mostTimers)
+	more := !s.timers.Ripe(now, maxTimers)
 	standing := s.standing.Load()
 	if standing != nil {
 		s.stand(standing, now)
@@ -305,10 +305,10 @@
 	return nil
 }
 
-// mostTimers bounds the timers of one turn, so that thousands of one instant hold up nobody: at 1 to 3 us each it stays
+// maxTimers bounds the timers of one turn, so that thousands of one instant hold up nobody: at 1 to 3 us each it stays
 // under a fifth of a millisecond. The rest have the next turns, each after what was read meanwhile: by the alarm and
 // not by wake, as gnet carries out what is queued in its loop before it looks for input.
-const mostTimers = 64
+const maxTimers = 64
 
 // gaugesFor is how long a reading of the gauges tells of the present: one is asked for just before each timer,
 // so an older one means that the processor did not answer, which is no news of its load.
@@ -365,13 +365,13 @@
 	l.out.Clear(p)
 }
 
-// mostUnread bounds what waits for a peer that does not read: 32 results of 4 KiB and what goes with them. All
+// maxUnread bounds what waits for a peer that does not read: 32 results of 4 KiB and what goes with them. All
 // together may leave an eighth of the memory unread, see sweep.
-const mostUnread = 136 << 10
+const maxUnread = 136 << 10
 
-// mostUnreadOurs is that for the links we dialled: the commands for some hundred tasks, as after a pause of the
+// maxUnreadOurs is that for the links we dialled: the commands for some hundred tasks, as after a pause of the
 // other side, which a new link would only have to repeat.
-const mostUnreadOurs = 1 << 20
+const maxUnreadOurs = 1 << 20
 
 // write puts bytes on a connection at the end of the turn.
 func (s *Server) write(l *line, b []byte) {
@@ -392,9 +392,9 @@
 	for _, l := range lines {
 		l.unsent = false
 		if c := l.conn; c != nil && len(l.out.Parts()) > 0 {
-			most := mostUnread
+			most := maxUnread
 			if l.ours {
-				most = mostUnreadOurs
+				most = maxUnreadOurs
 			}
 			_, err := c.Writev(l.out.Parts())
 			if left := c.OutboundBuffered(); err == nil && left > most {
@@ -433,14 +433,14 @@
 // tell writes the line of counts and begins anew.
 func (s *Server) tell() {
 	c := &s.counts
-	most, by := s.mostPeers()
+	most, by := s.maxPeers()
 	slog.Info("counts", "read", c.read, "finished", c.finished, "rejected", c.rejected,
 		"abandoned", c.abandoned, "gone", c.gone, "invalid", c.invalid, "malformed", c.malformed, "unrun", c.unrun,
 		"calls", c.calls, "turns", c.turns, "turn_ms", watch.Round(1000*c.turn, 2),
 		"unread_ms", watch.Round(1000*c.unread/max(1, float64(c.read)), 1),
 		"longest_ms", watch.Round(1000*c.longest, 1), "open", s.tasks.Open(), "tasks", s.tasks.Len(),
 		"kept", s.kept.Len(), "conns", s.peers.Len(), "strangers", s.door.Count(door.Stranger),
-		"parting", s.door.Count(door.Parting), "most_conns", most, "most_by", by, "pooled_conns", len(s.connPool.all),
+		"parting", s.door.Count(door.Parting), "max_conns", most, "max_by", by, "pooled_conns", len(s.connPool.all),
 		"parted", c.parted, "evicted", c.evicted, "unspoken", c.unspoken,
 		"gauge_ms", watch.Round(1000*c.gaugeAge, 1), "blind", c.blind, "timers", s.timers.Len(),
 		"buffers", s.pool.Out, "memory_kb", residentKB(), "heap_kb", liveKB(), "well", s.isWell(), "load", s.say.Free)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -649,7 +649,7 @@
 	busy := w.balancer()
 	busy.send("%s", frame(1, "a1", "x"))
 	w.processor.wants("begin", "a1")
-	most, _ := w.server.mostPeers()
+	most, _ := w.server.maxPeers()
 	for range most {
 		w.balancer()
 		late := w.balancer()
@@ -712,10 +712,10 @@
 func TestMoreThanTheProtocolsTasksOnAConnection(t *testing.T) {
 	w := build(t, nil)
 	b := w.balancer()
-	for i := range byte(mostOpen + 1) {
+	for i := range byte(maxOpen + 1) {
 		b.send("%s", frame(i+1, fmt.Sprintf("a%d", i), "x"))
 	}
-	b.expect(answerTo(mostOpen+1) + "\x92\xa7Invalid")
+	b.expect(answerTo(maxOpen+1) + "\x92\xa7Invalid")
 }
 
 func TestRepeatsShareAnAnswer(t *testing.T) {
@@ -779,7 +779,7 @@
 }
 
 func (*unread) Writev([][]byte) (int, error) { return 0, nil }
-func (*unread) OutboundBuffered() int        { return mostUnread + 1 }
+func (*unread) OutboundBuffered() int        { return maxUnread + 1 }
 func (c *unread) Close() error               { c.closed = true; return nil }
 
 // broken is a connection whose handling panics.
--- a/internal/standin/processor/processor.go
+++ b/internal/standin/processor/processor.go
@@ -66,8 +66,8 @@
 }
 
 const (
-	mostNotices = 4000    // kept, by the page
-	mostOver    = 1 << 20 // ids remembered for Twice
+	maxNotices = 4000    // kept, by the page
+	maxOver    = 1 << 20 // ids remembered for Twice
 )
 
 // Start listens on an address of loopback.
@@ -251,7 +251,7 @@
 func (p *Processor) end(r *run) {
 	p.counts.Ended++
 	delete(p.runs, r.id)
-	if len(p.over) >= mostOver {
+	if len(p.over) >= maxOver {
 		clear(p.over)
 	}
 	p.over[r.id] = true
@@ -260,8 +260,8 @@
 func (p *Processor) notify(put func(b []byte, serial int64) []byte) {
 	p.serial++
 	line := put(nil, p.serial)
-	if len(p.notices) >= 2*mostNotices {
-		p.notices = append([]notice(nil), p.notices[mostNotices:]...)
+	if len(p.notices) >= 2*maxNotices {
+		p.notices = append([]notice(nil), p.notices[maxNotices:]...)
 	}
 	p.notices = append(p.notices, notice{p.serial, line})
 	p.write(line)
--- a/internal/standin/roster/roster.go
+++ b/internal/standin/roster/roster.go
@@ -30,8 +30,8 @@
 	Mute                 // the connection is closed without an answer
 )
 
-// mostReports bounds the reports that nobody took from Reports yet; further ones only count.
-const mostReports = 1000
+// maxReports bounds the reports that nobody took from Reports yet; further ones only count.
+const maxReports = 1000
 
 // Start listens on an address of loopback; answers tells how the nth report, from 1, is answered: nil keeps all
 // connections.
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Roster{listener: l, answers: answers, reports: make(chan roster.Report, mostReports), takes: map[string]bool{}}
+	r := &Roster{listener: l, answers: answers, reports: make(chan roster.Report, maxReports), takes: map[string]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/internal/wire/fleet/copies.go
+++ b/internal/wire/fleet/copies.go
@@ -17,10 +17,10 @@
 
 // Bounds of it.
 const (
-	mostResult = 64 << 10 // bytes of a result
-	mostTries  = 256      // of a record, merged from all of its holders
-	mostParts  = state.Slots
-	mostCopies = 4096 // records in a slice
+	maxResult = 64 << 10 // bytes of a result
+	maxTries  = 256      // of a record, merged from all of its holders
+	maxParts  = state.Slots
+	maxCopies = 4096 // records in a slice
 )
 
 func putSit(s replica.Sitting) *Sitting { return &Sitting{N: s.N, Life: s.Life} }
@@ -35,7 +35,7 @@
 }
 
 func sits(p []*Sitting) (list []replica.Sitting, err error) {
-	if len(p) > replica.MostCopies {
+	if len(p) > replica.MaxCopies {
 		return nil, errSize
 	}
 	for _, s := range p {
@@ -62,7 +62,7 @@
 	}
 	t = state.Try{Claim: state.Claim{At: p.At, Who: p.Who, N: p.N}, State: state.State(min(p.State, 255)), Sum: p.Sum, Result: p.Result}
 	switch {
-	case len(p.Result) > mostResult:
+	case len(p.Result) > maxResult:
 		err = errSize
 	case t.State > state.Finished, t.State != state.Finished && (t.Result != nil || t.Sum != 0):
 		err = errValue
@@ -74,7 +74,7 @@
 
 // tries reads those of a record, which stand in the order of claims.
 func tries(p []*Try) (list []state.Try, err error) {
-	if len(p) > mostTries {
+	if len(p) > maxTries {
 		return nil, errSize
 	}
 	for i, one := range p {
@@ -200,12 +200,12 @@
 
 // vouchers reads servers' words on callers.
 func vouchers(p *Vouchers) (list []replica.Voucher, err error) {
-	if len(p.Vouchers) > mostFew {
+	if len(p.Vouchers) > maxShortList {
 		return nil, errSize
 	}
 	list = []replica.Voucher{}
 	for _, v := range p.Vouchers {
-		if len(v.Callers) > replica.MostEarned {
+		if len(v.Callers) > replica.MaxEarned {
 			return nil, errSize
 		}
 		one := replica.Voucher{Name: v.Name, Life: v.Life, Number: v.Number}
@@ -303,11 +303,11 @@
 func slice(p *Slice) (*replica.Slice, error) {
 	s := &replica.Slice{Plan: p.Plan, Number: p.Number, Sit: sit(p.Sit), Yours: sit(p.Yours)}
 	n := 0
-	if len(p.Parts) > mostParts {
+	if len(p.Parts) > maxParts {
 		return nil, errSize
 	}
 	for _, part := range p.Parts {
-		if n += len(part.Records); part.Slot >= state.Slots || n > mostCopies {
+		if n += len(part.Records); part.Slot >= state.Slots || n > maxCopies {
 			return nil, errSize
 		}
 		to := replica.Part{Slot: int(part.Slot), Warm: part.Warm, All: part.All}
@@ -350,7 +350,7 @@
 
 // wishing reads a server's question about budgets. What it says of them the granter bounds; here only what is no number is refused.
 func wishing(p *Wishing) (*budget.Question, error) {
-	if len(p.Wishes) > budget.MostEntries {
+	if len(p.Wishes) > budget.MaxEntries {
 		return nil, errSize
 	}
 	q := &budget.Question{Number: p.Number, Terms: p.Terms, Granter: p.Granter}
@@ -364,7 +364,7 @@
 }
 
 func healths(p *Healths) ([]health.Word, error) {
-	if len(p.Words) > health.MostWords {
+	if len(p.Words) > health.MaxWords {
 		return nil, errSize
 	}
 	list := []health.Word{}
@@ -379,7 +379,7 @@
 }
 
 func granting(p *Granting) (*budget.Answer, error) {
-	if len(p.Grants) > budget.MostEntries {
+	if len(p.Grants) > budget.MaxEntries {
 		return nil, errSize
 	}
 	a := &budget.Answer{Life: p.Life, Number: p.Number, Granter: p.Granter}
--- a/internal/wire/fleet/counts.go
+++ b/internal/wire/fleet/counts.go
@@ -19,7 +19,7 @@
 
 // readCounts reads cells, which stand in their order and each once.
 func readCounts(p []*Count) (list []stance.Count, err error) {
-	if len(p) > mostMany+1 {
+	if len(p) > maxLongList+1 {
 		return nil, errSize
 	}
 	for i, n := range p {
@@ -60,7 +60,7 @@
 }
 
 func closed(p []*Row) (list []version.Row, err error) {
-	if len(p) > mostMany {
+	if len(p) > maxLongList {
 		return nil, errSize
 	}
 	for _, one := range p {
@@ -82,7 +82,7 @@
 }
 
 func few(sits counts.Sits) error {
-	if len(sits) > mostFew {
+	if len(sits) > maxShortList {
 		return errSize
 	}
 	return nil
@@ -123,7 +123,7 @@
 		m.RowHeard, err = &h, few(h.Sits)
 	case *Packet_AskRows:
 		m.AskRows = &counts.Ask{Number: body.AskRows.Number, All: body.AskRows.All, After: body.AskRows.After, Sits: body.AskRows.Sits}
-		if len(body.AskRows.Rows) > mostFew {
+		if len(body.AskRows.Rows) > maxShortList {
 			return errSize
 		}
 		err = few(body.AskRows.Sits)
@@ -132,7 +132,7 @@
 		}
 	case *Packet_Rows:
 		m.Rows = &counts.Said{Number: body.Rows.Number, Cold: body.Rows.Cold, More: body.Rows.More, Sits: body.Rows.Sits}
-		if len(body.Rows.Sits) > mostFew || len(body.Rows.Rows) > mostMany || body.Rows.More && len(body.Rows.Rows) == 0 {
+		if len(body.Rows.Sits) > maxShortList || len(body.Rows.Rows) > maxLongList || body.Rows.More && len(body.Rows.Rows) == 0 {
 			return errSize
 		}
 		for _, one := range body.Rows.Rows {
--- a/internal/wire/fleet/fleet.go
+++ b/internal/wire/fleet/fleet.go
@@ -23,11 +23,11 @@
 
 // Bounds of what is read; what is written keeps to them by how it is made.
 const (
-	MostPacket = 4 << 20  // bytes: an order with all of its bounds reached, in a copy that the consensus library sends
-	mostText   = 64 << 10 // of a version
-	mostWord   = 256      // bytes of any name, digest or cause
-	mostMany   = 4096     // entries of a map
-	mostFew    = 256      // entries of a list within an entry
+	MaxPacket    = 4 << 20  // bytes: an order with all of its bounds reached, in a copy that the consensus library sends
+	maxText      = 64 << 10 // of a version
+	maxWord      = 256      // bytes of any name, digest or cause
+	maxLongList  = 4096     // entries of a map
+	maxShortList = 256      // entries of a list within an entry
 )
 
 // Message is one packet in the program's words; exactly one part is there.
@@ -140,18 +140,18 @@
 		}
 	}
 	b, err := proto.Marshal(p)
-	if err == nil && len(b) > MostPacket {
+	if err == nil && len(b) > MaxPacket {
 		return nil, errSize
 	}
 	return b, err
 }
 
 // clip keeps a cause within its bound.
-func clip(text string) string { return strings.ToValidUTF8(text[:min(len(text), mostWord)], "") }
+func clip(text string) string { return strings.ToValidUTF8(text[:min(len(text), maxWord)], "") }
 
 // Read reads a message. Whatever is wrong with it costs that message alone.
 func Read(b []byte) (*Message, error) {
-	if len(b) > MostPacket {
+	if len(b) > MaxPacket {
 		return nil, errSize
 	}
 	p := &Packet{}
@@ -159,7 +159,7 @@
 		return nil, fmt.Errorf("no packet: %w", err)
 	}
 	m := &Message{From: p.From, Life: p.Life, Addr: p.Addr}
-	if len(p.From) > mostWord || len(p.Addr) > mostWord {
+	if len(p.From) > maxWord || len(p.Addr) > maxWord {
 		return nil, errSize
 	}
 	var err error
@@ -193,7 +193,7 @@
 		m.Brief = &a
 	case *Packet_Accounts:
 		m.Ask = &Ask{Number: body.Accounts.Number, Names: body.Accounts.Names, Founding: body.Accounts.Founding, Count: body.Accounts.Count}
-		if err = short(m.Ask.Names...); len(m.Ask.Names) > mostMany {
+		if err = short(m.Ask.Names...); len(m.Ask.Names) > maxLongList {
 			err = errSize
 		}
 	case *Packet_Told:
@@ -209,7 +209,7 @@
 
 func short(words ...string) error {
 	for _, w := range words {
-		if len(w) > mostWord {
+		if len(w) > maxWord {
 			return errSize
 		}
 	}
@@ -238,7 +238,7 @@
 }
 
 func told(t *Telling) (*Told, error) {
-	if len(t.Accounts) > mostMany || len(t.Standings) > mostMany {
+	if len(t.Accounts) > maxLongList || len(t.Standings) > maxLongList {
 		return nil, errSize
 	}
 	m := &Told{Number: t.Number}
@@ -276,7 +276,7 @@
 }
 
 func account(p *Account) (a audit.Account, err error) {
-	if len(p.GetIntervals()) > mostFew {
+	if len(p.GetIntervals()) > maxShortList {
 		return a, errSize
 	}
 	a = audit.Account{Name: p.GetName(), Life: p.GetLife(), Started: p.GetStarted(), Seen: p.GetSeen(), Dropped: p.GetDropped()}
@@ -310,13 +310,13 @@
 	m := &version.Message{From: v.From, To: v.To, Founding: v.Founding, Ask: v.Ask}
 	var err error
 	if b := v.Beacon; b != nil {
-		if len(b.Heard) > mostFew || len(b.Seats) > mostFew || len(b.Name) > mostWord {
+		if len(b.Heard) > maxShortList || len(b.Seats) > maxShortList || len(b.Name) > maxWord {
 			return nil, errSize
 		}
 		m.Beacon = &version.Beacon{Name: b.Name, Life: b.Life, Founding: b.Founding, Known: b.Known, Count: b.Count, Heard: b.Heard, Seats: b.Seats}
 	}
 	if f := v.Found; f != nil {
-		if len(f.Seats) > mostFew || f.Order == nil || f.Founding == 0 {
+		if len(f.Seats) > maxShortList || f.Order == nil || f.Founding == 0 {
 			return nil, errSize
 		}
 		m.Found = &version.Foundation{Founding: f.Founding, Seats: f.Seats}
@@ -353,7 +353,7 @@
 
 func readVersion(p *Version) (*version.Version, error) {
 	v := &version.Version{Epoch: version.Epoch(p.Epoch), Digest: p.Digest, Author: p.Author, At: p.At, Text: p.Text, Build: p.Build}
-	if len(p.Text) > mostText {
+	if len(p.Text) > maxText {
 		return nil, errSize
 	}
 	return v, errors.Join(short(p.Digest, p.Author, p.Build), finite(p.At))
@@ -376,8 +376,8 @@
 }
 
 func order(p *Order) (*version.Order, error) {
-	if len(p.Waves) > mostFew || len(p.Past) > mostFew || len(p.Holds) > mostMany || len(p.Out) > mostMany || len(p.Done) > mostFew ||
-		len(p.Seats) > mostFew || p.Base == nil || p.Wave > mostFew {
+	if len(p.Waves) > maxShortList || len(p.Past) > maxShortList || len(p.Holds) > maxLongList || len(p.Out) > maxLongList || len(p.Done) > maxShortList ||
+		len(p.Seats) > maxShortList || p.Base == nil || p.Wave > maxShortList {
 		return nil, errSize
 	}
 	o := (&version.Order{Count: p.Count, Waves: p.Waves, Wave: int(p.Wave), Upto: p.Upto, Holds: p.Holds, Done: p.Done, Seats: p.Seats}).Clone()
@@ -415,7 +415,7 @@
 		o.Out[name] = version.Outed{Life: out.GetLife(), By: out.GetBy(), Why: out.GetWhy(), On: version.Epoch(out.GetOn()), At: out.GetAt()}
 	}
 	for name := range o.Holds {
-		if len(name) > mostWord {
+		if len(name) > maxWord {
 			return nil, errSize
 		}
 	}
@@ -433,7 +433,7 @@
 	}
 	c := &version.Command{Kind: version.Kind(min(p.Kind, 255)), ID: p.Id, Author: p.Author, At: p.At, On: version.Epoch(p.On), Text: p.Text,
 		Build: p.Build, Digest: p.Digest, Waves: p.Waves, Name: p.Name, Life: p.Life, Was: p.Was, Why: p.Why}
-	if len(p.Text) > mostText || len(p.Waves) > mostFew {
+	if len(p.Text) > maxText || len(p.Waves) > maxShortList {
 		return nil, errSize
 	}
 	var err error
--- a/internal/wire/fleet/fleet_test.go
+++ b/internal/wire/fleet/fleet_test.go
@@ -109,9 +109,9 @@
 }
 
 func TestWhatIsOverItsBoundsIsRefused(t *testing.T) {
-	long := strings.Repeat("x", mostWord+1)
+	long := strings.Repeat("x", maxWord+1)
 	many := map[string]uint64{}
-	for i := range mostFew + 1 {
+	for i := range maxShortList + 1 {
 		many[strings.Repeat("y", i%200)+string(rune('a'+i%26))+strings.Repeat("z", i/200)] = 1
 	}
 	for i, m := range []*Message{
@@ -121,17 +121,17 @@
 		{Question: &member.Question{Toll: version.Toll{Ended: 1, Harmed: 2}}},
 		{Question: &member.Question{Toll: version.Toll{Ended: -1, Harmed: -1}}},
 		{Answer: &member.Answer{For: math.Inf(1)}},
-		{Version: &version.Version{Text: strings.Repeat("t", mostText+1)}},
+		{Version: &version.Version{Text: strings.Repeat("t", maxText+1)}},
 		{Do: &version.Command{At: math.Inf(-1)}},
-		{Do: &version.Command{Waves: make([]float64, mostFew+1)}},
-		{Brief: &audit.Account{Intervals: make([]audit.Interval, mostFew+1)}},
-		{Ask: &Ask{Names: make([]string, mostMany+1)}},
+		{Do: &version.Command{Waves: make([]float64, maxShortList+1)}},
+		{Brief: &audit.Account{Intervals: make([]audit.Interval, maxShortList+1)}},
+		{Ask: &Ask{Names: make([]string, maxLongList+1)}},
 		{Voting: &version.Message{Beacon: &version.Beacon{Name: "v", Heard: many}}},
-		{Wishes: &budget.Question{Wishes: make([]budget.Wish, budget.MostEntries+1)}},
+		{Wishes: &budget.Question{Wishes: make([]budget.Wish, budget.MaxEntries+1)}},
 		{Wishes: &budget.Question{Wishes: []budget.Wish{{Name: "calls", Demand: -1}}}},
 		{Wishes: &budget.Question{Wishes: []budget.Wish{{Name: long}}}},
 		{Grants: &budget.Answer{Grants: []budget.Grant{{Name: "calls", Part: math.NaN()}}}},
-		{Health: make([]health.Word, health.MostWords+1)},
+		{Health: make([]health.Word, health.MaxWords+1)},
 		{Health: []health.Word{{Age: -1}}},
 		{Voting: &version.Message{From: 1, To: 2, Raft: &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), From: new(uint64(9)), To: new(uint64(2))}}},
 	} {
@@ -143,7 +143,7 @@
 			t.Errorf("case %d was read: %+v", i, back)
 		}
 	}
-	if _, err := Read(make([]byte, MostPacket+1)); err == nil {
+	if _, err := Read(make([]byte, MaxPacket+1)); err == nil {
 		t.Error("a packet over the bound was read")
 	}
 	if _, err := Put(&Message{}); err == nil {
--- a/internal/wire/fleet/plan.go
+++ b/internal/wire/fleet/plan.go
@@ -24,7 +24,7 @@
 }
 
 func demand(p []*PlanDemand) (list []plan.Demand, err error) {
-	if len(p) > mostMany {
+	if len(p) > maxLongList {
 		return nil, errSize
 	}
 	for _, d := range p {
@@ -66,7 +66,7 @@
 	case *Packet_PlanReport:
 		r := body.PlanReport
 		m.PlanReport = &plan.Report{Name: r.Name, Life: r.Life, Number: r.Number, For: r.For, Holds: number(r.Holds)}
-		if len(r.Workers) > mostMany {
+		if len(r.Workers) > maxLongList {
 			return errSize
 		}
 		for _, w := range r.Workers {
@@ -81,7 +81,7 @@
 	case *Packet_PlanPart:
 		a := body.PlanPart
 		m.PlanPart = &plan.Part{Number: number(a.Number), For: a.For, Answers: a.Answers, Lease: a.Lease}
-		if len(a.Weights) > mostMany {
+		if len(a.Weights) > maxLongList {
 			return errSize
 		}
 		for _, w := range a.Weights {
--- a/internal/wire/rpc/far.go
+++ b/internal/wire/rpc/far.go
@@ -82,15 +82,15 @@
 	Say    Say
 }
 
-// mostAnswer bounds one answer: a result of 4 KiB and its fields.
-const mostAnswer = 16 << 10
+// maxAnswer bounds one answer: a result of 4 KiB and its fields.
+const maxAnswer = 16 << 10
 
 // NextAnswer reads the message at the start of b and tells how long it is: 0 while it is not whole.
 func NextAnswer(b []byte) (Answer, int, error) {
 	c := cursor{b: b}
 	a := answer(&c)
 	switch {
-	case errors.Is(c.err, errShort) && len(b) < mostAnswer:
+	case errors.Is(c.err, errShort) && len(b) < maxAnswer:
 		return Answer{}, 0, nil
 	case c.err != nil:
 		return Answer{}, 0, fmt.Errorf("%w: %w", ErrMalformed, c.err)
