--- a/internal/forward/link.go
+++ b/internal/forward/link.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"log/slog"
 	"net"
 	"time"
 
@@ -60,9 +62,13 @@
 		c := &conn{raw: raw, out: make(chan []byte, maxLine), done: make(chan struct{})}
 		go c.write()
 		l.tell(c, true)
-		if l.read(c) { // it had something to say: the next dial is at once
+		spoke, err := l.read(c)
+		if spoke { // it had something to say: the next dial is at once
 			pause = redial
 		}
+		if err != nil {
+			slog.Info("bad_input", "worker", l.Name, "addr", l.Addr, "err", err)
+		}
 		_ = raw.Close()
 		close(c.done)
 		l.tell(c, false)
@@ -121,23 +127,27 @@
 	}
 }
 
+// errLong is for what the codec does not bound: it gives up a message by what its head says, before as much is there.
 var errLong = errors.New("a message without end")
 
-// read hands messages to the owner, and tells whether there was any.
-func (l *link) read(c *conn) (spoke bool) {
+// read hands messages to the owner until the connection ends, and tells whether there was any. An error is the worker's: bytes that are no message.
+func (l *link) read(c *conn) (spoke bool, err error) {
 	var b []byte
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := c.raw.Read(piece)
 		if err != nil {
-			return spoke
+			return spoke, nil
 		}
 		b = append(b, piece[:n]...)
 		at := 0
 		for at < len(b) {
 			a, size, err := rpc.NextAnswer(b[at:])
-			if err != nil || size == 0 && len(b)-at > maxRead {
-				return spoke
+			if err != nil {
+				return spoke, fmt.Errorf("after %d bytes that are read: %w", at, err)
+			}
+			if size == 0 && len(b)-at > maxRead {
+				return spoke, errLong
 			}
 			if size == 0 {
 				break
@@ -148,7 +158,7 @@
 			select {
 			case l.d.inbox <- event{link: l, answer: &a}:
 			case <-l.d.quit:
-				return spoke
+				return spoke, nil
 			}
 		}
 		b = append(b[:0], b[at:]...)
--- a/internal/judge/shared/budget/granter.go
+++ b/internal/judge/shared/budget/granter.go
@@ -11,7 +11,6 @@
 type lot struct {
 	demand float64
 	need   float64 // of that, beyond the floor
-	open   float64 // units open beyond the floor, as it said
 	heard  float64
 	number uint64 // of the latest question
 	given  []given
@@ -57,7 +56,6 @@
 	sum    uint64 // of the terms
 	from   float64
 	shares map[string]*share
-	tended float64
 }
 
 const (
--- a/internal/memory/wheel_test.go
+++ b/internal/memory/wheel_test.go
@@ -59,8 +59,7 @@
 		var model sorted
 		now := rapid.SampledFrom([]float64{0, 1.7e9}).Draw(t, "start")
 		names, did, ids := map[int]Timer{}, []int(nil), 0
-		var add func(when float64, chain int)
-		add = func(when float64, chain int) {
+		add := func(when float64, chain int) {
 			id := ids
 			ids++
 			names[id] = ts.Add(when, func() {
