--- a/internal/serve/idle_test.go
+++ b/internal/serve/idle_test.go
@@ -115,22 +115,11 @@
 
 func TestAConnectionThatWakesWhileItIsClosedHasItsAnswer(t *testing.T) {
 	watch.To(io.Discard)
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer unix.Close(pair[0])
-	defer unix.Close(pair[1])
 	for _, wakes := range []bool{true, false} {
 		s := alone(30)
 		s.door.Idle(0)
-		name, p := s.peers.Add()
-		p.server, p.name = s, name
-		c := &socket{fd: pair[0]}
-		c.sending.context = p
-		_ = p.opened(c, "")
-		s.door.Tell(name.Slot(), door.Spoke, s.now())
-		now := s.now()
+		p, c, far := linked(t, s)
+		name, now := p.name, s.now()
 		s.tend(now + 1)
 		if s.door.State(name.Slot()) != door.Parting {
 			t.Fatalf("state %d", s.door.State(name.Slot()))
@@ -138,12 +127,12 @@
 		s.flush()
 		if wakes {
 			c.sending.bytes = frame(1, "a1", "x")
-			if _, err := unix.Write(pair[1], []byte(c.sending.bytes)); err != nil {
+			if _, err := unix.Write(far, []byte(c.sending.bytes)); err != nil {
 				t.Fatal(err)
 			}
 		}
 		s.tend(now + 3)
-		if ended(pair[1]) == wakes || (s.peers.Get(name) == nil) == wakes {
+		if ended(far) == wakes || (s.peers.Get(name) == nil) == wakes {
 			t.Fatalf("wakes %t, and it is %d peers", wakes, s.peers.Len())
 		}
 		if !wakes { // what crosses that is thrown away
@@ -167,7 +156,7 @@
 		if got := fmt.Sprintf("%q", s.peers.Get(name).out.Parts()); s.tasks.Open() != 0 || s.counts.rejected != 1 || len(got) < 10 {
 			t.Errorf("its answer: %s", got)
 		}
-		if _, err := unix.Read(pair[0], make([]byte, 4096)); err != nil { // as gnet would have before OnTraffic
+		if _, err := unix.Read(c.fd, make([]byte, 4096)); err != nil { // as gnet would have before OnTraffic
 			t.Fatal(err)
 		}
 	}
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -13,7 +13,6 @@
 	"golang.org/x/sys/unix"
 
 	"swiftcourse/choice"
-	"swiftcourse/internal/judge/door"
 	"swiftcourse/internal/life"
 )
 
@@ -119,25 +118,15 @@
 
 // An answer that a slow reader has not taken yet keeps its connection from being closed.
 func TestAnswersThatAreNotOutKeepTheConnection(t *testing.T) {
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer unix.Close(pair[0])
-	defer unix.Close(pair[1])
 	s := alone(30)
 	s.door.Idle(0)
-	name, p := s.peers.Add()
-	p.server, p.name = s, name
-	c := &socket{fd: pair[0], unsent: 100}
-	c.sending.context = p
-	_ = p.opened(c, "")
-	s.door.Tell(name.Slot(), door.Spoke, s.now())
+	_, c, far := linked(t, s)
+	c.unsent = 100
 	now := s.now()
 	s.tend(now + 1) // is asked to close
 	s.flush()
 	for at := now + 2; at < now+5; at++ {
-		if s.tend(at); ended(pair[1]) || c.closed {
+		if s.tend(at); ended(far) || c.closed {
 			t.Fatal("closed with an answer under way")
 		}
 	}
@@ -145,7 +134,7 @@
 	for at := now + 5; at < now+8; at++ {
 		s.tend(at)
 	}
-	if !ended(pair[1]) {
+	if !ended(far) {
 		t.Error("stays for ever")
 	}
 }
