--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 lint:
 	@test -z "$$(gofmt -l choice cmd internal)" || { gofmt -l choice cmd internal; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 
 # The server needs RELAY_CONFIG, the path of its configuration.
 run: build
