--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,7 +139,7 @@
 	calls, tries         int     // calls that came back well; tries of the one at hand that did not
 	notTill              float64 // no call before this
 	ran, repeated        bool
-	over                 bool    // its tenant is over its share
+	over                 int     // 1 where its tenant is over its share
 	of                   *tenant // whose part of a budget it took one of, nil for none
 	proven               bool    // its last call is known not to have run
 }
@@ -367,7 +367,7 @@
 		case of.bound:
 			over = true
 		default:
-			t.over, t.value = true, t.value*s.overShare
+			t.over, t.value = 1, t.value*s.overShare
 		}
 	}
 	s.reads++
@@ -593,15 +593,7 @@
 }
 
 // byGoal has what is over its tenant's share come last.
-func byGoal(a, b *task) int {
-	switch {
-	case a.over == b.over:
-		return cmp.Compare(a.goal, b.goal)
-	case a.over:
-		return 1
-	}
-	return -1
-}
+func byGoal(a, b *task) int { return cmp.Or(cmp.Compare(a.over, b.over), cmp.Compare(a.goal, b.goal)) }
 
 // judgeRoom starts held tasks by due time while the cap, the crowd and the memory allow.
 func (s *Server) judgeRoom() {
@@ -615,7 +607,7 @@
 	// without.
 	vain := t.stage.Calls && t.stage.SkipUtility == 0 && s.n(atCall) >= max(2, s.callCap)
 	// What is over its tenant's share leaves room for another, as it can't be taken off for them.
-	spare := !t.over || s.n(onCore) < max(1, s.runCap-1)
+	spare := t.over == 0 || s.n(onCore) < max(1, s.runCap-1)
 	return t.state == held && fits && !vain && spare
 }
 
@@ -790,12 +782,12 @@
 		s.abandon(t)
 		return
 	}
-	if !t.over { // it says nothing of what else is wanted, and is over its share wherever it goes
+	if t.over == 0 { // it says nothing of what else is wanted, and is over its share wherever it goes
 		s.unmet++
 	}
 	s.forget(t)
 	s.act(Action{Kind: Reject, ID: t.id, For: advice,
-		Flag: t.over || s.lag > s.patience || s.share < 0.4 ||
+		Flag: t.over > 0 || s.lag > s.patience || s.share < 0.4 ||
 			s.share < 0.95 && !s.bySubject && s.idle < s.maxIdle})
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -39,8 +39,8 @@
 	Odds        // the odds that one does not pass this server over
 )
 
-// Stage is a kind of task. Its due time is what an answer of full utility takes at most, a soft deadline; its time limit is a client's
-// patience over all tries, a hard one.
+// Stage is a kind of task. Its due time is what an answer of full utility takes at most, a soft deadline; its time limit is how long
+// its caller waits over all tries, a hard one.
 type Stage struct {
 	Effect      Effect
 	DueTime     float64
--- a/internal/forward/link.go
+++ b/internal/forward/link.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// errLong is for what the codec does not bound: it gives up a message by what its head says, before as much is there.
+// errLong bounds what waits to be whole, whatever the codec lets pass. No input that gets here is known: it guards, and no test reaches it.
 var errLong = errors.New("a message without end")
 
 // read hands messages to the owner until the connection ends, and tells whether there was any. An error is the worker's: bytes that are no message.
