--- a/internal/serve/catalogue_test.go
+++ b/internal/serve/catalogue_test.go
@@ -14,10 +14,7 @@
 )
 
 func TestEveryEndOfACall(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	w.processor.ask(1, "a1", "c")
 	var below *end
 	for _, end := range []string{"a1 LATER", "a1 NOUSE", "a1 FAULT", "a1 TOOSLOW", "", "nonsense", "\xff\x00",
@@ -139,10 +136,7 @@
 }
 
 func TestForgottenAndItsCallGivenUp(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	w.processor.ask(1, "a1", "c")
 	below := accept(t, w.catalogues)
 	below.expect("\r\nc\r\n")
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -34,10 +34,7 @@
 
 // Tasks are open until the very end; that must not keep the connections open for new ones until then.
 func TestConnectionsAreAskedToCloseWhileTheirTasksRun(t *testing.T) {
-	w := build(t, func(s *life.Start) { s.Stop = 10 })
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, func(s *life.Start) { s.Stop = 10 })
 	w.server.Leave()
 	b.expect("goaway\x90") // its task still runs
 	w.refused()
@@ -217,10 +214,7 @@
 
 // Nothing is held back by the system: TCP_NODELAY is set on all that the server accepted or dialled.
 func TestNothingIsHeldBackOnAnyConnection(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, _ := running(t, nil)
 	w.processor.ask(1, "a1", "c")
 	accept(t, w.catalogues).expect("\r\nc\r\n")
 	w.onLoop(func(s *Server) {
@@ -234,10 +228,7 @@
 
 // A reload to the same addresses changes nothing; two in a row, to a dead one and back, lose nothing.
 func TestReloadsToTheSameToADeadOneAndBack(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	w.server.Move(w.addresses())
 	w.processor.ask(1, "a1", "c") // over the same link
 	below := accept(t, w.catalogues)
--- a/internal/serve/link_test.go
+++ b/internal/serve/link_test.go
@@ -15,10 +15,7 @@
 )
 
 func TestNewAddressesTakeAllThatIsNew(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	w.processor.ask(1, "a1", "c")
 	old := accept(t, w.catalogues)
 	old.expect("\r\nc\r\n")
--- a/internal/serve/processor_test.go
+++ b/internal/serve/processor_test.go
@@ -10,10 +10,7 @@
 )
 
 func TestBrokenProcessorLink(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	b.send("%s", frame(2, "a2", "x"))
 	w.processor.wants("begin", "a2")
 	w.processor.ask(1, "a1", "c")
@@ -43,10 +40,7 @@
 }
 
 func TestABeginThatMayBeLostIsSentAgain(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	w.processor.Close() // before anything shows that the command was read
 	p := accept(t, w.processors)
 	p.command(false)
@@ -80,10 +74,7 @@
 
 // The other end of the processor's link is gone without a word: nothing comes, and nothing breaks.
 func TestASilentProcessorLinkIsReplaced(t *testing.T) {
-	w := build(t, nil)
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, nil)
 	becomes(w, true, func(s *Server) bool { // a question is open, which nobody answers here
 		s.processor.askGauges()
 		return s.processor.asked > 0
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -167,6 +167,15 @@
 	return w
 }
 
+// running is a server on which a balancer's task a1, message 1 of its connection, runs.
+func running(t *testing.T, change func(*life.Start)) (*world, *end) {
+	w := build(t, change)
+	b := w.balancer()
+	b.send("%s", frame(1, "a1", "x"))
+	w.processor.wants("begin", "a1")
+	return w, b
+}
+
 func (w *world) addresses() life.Addresses {
 	return life.Addresses{Processor: w.processors.Addr().String(), Roster: w.roster.Addr(),
 		Catalogue: w.catalogues.Addr().String()}
@@ -273,10 +282,7 @@
 }
 
 func TestDrainAnswersAllAndEnds(t *testing.T) {
-	w := build(t, func(s *life.Start) { s.Stop = 10 })
-	b := w.balancer()
-	b.send("%s", frame(1, "a1", "x"))
-	w.processor.wants("begin", "a1")
+	w, b := running(t, func(s *life.Start) { s.Stop = 10 })
 	w.server.Leave()
 	for report := range w.roster.Reports() {
 		if !report.Takes {
