Review, case 2: after a broken link a reply goes to the run's next call

resend repeats the reply to a settled call; the run may wait for its next call by then and takes it for that. Nothing is fixed.

--- a/review/kit/balancer.go
+++ b/review/kit/balancer.go
@@ -103,6 +103,22 @@
 	return true
 }
 
+// Forget tells the server that the request is no longer waited for. It returns false if the request
+// has its answer already.
+func (b *Balancer) Forget(r *Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for number, open := range b.open {
+		if open == r {
+			delete(b.open, number)
+			message := append(appendText([]byte{0x93, 0x02}, "forget"), 0x91, 0xce)
+			_, err := b.conn.Write(binary.BigEndian.AppendUint32(message, uint32(number)))
+			return err == nil
+		}
+	}
+	return false
+}
+
 func appendText(b []byte, text string) []byte {
 	b = append(b, 0xd9, byte(len(text)))
 	return append(b, text...)
--- a/review/kit/process.go
+++ b/review/kit/process.go
@@ -65,6 +65,7 @@
 	StopMs                                   int
 	Settings                                 map[string]any
 	Operator                                 string // text of the operator's file, "" for none
+	Arguments                                string // appended to the command, "" for a plain server
 }
 
 // WriteConfig writes the configuration of a server and returns its path. It replaces an older one.
@@ -91,7 +92,7 @@
 // StartServer starts a server by the command `run` of the deploy file, from the repository's root.
 func StartServer(root, folder string, config *ServerConfig, record *Record) *Process {
 	path := WriteConfig(folder, config)
-	cmd := exec.Command("/bin/sh", "-c", runCommand(root))
+	cmd := exec.Command("/bin/sh", "-c", runCommand(root)+config.Arguments)
 	cmd.Dir = root
 	cmd.Env = append(os.Environ(), "RELAY_NAME="+config.Name, "RELAY_LISTEN="+config.Listen, "RELAY_CONFIG="+path)
 	if config.Operator != "" {
--- a/review/kit/processor.go
+++ b/review/kit/processor.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// GiveUp ends the run of a request that is over, if it waits for a call. A run that works ends at its
+// next call.
+func (p *Processor) GiveUp(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.runs[id]; r != nil && r.asked > 0 {
+		p.end(r, "aborted", nil)
+	}
+}
+
 // Open returns the numbers of runs in hand, and of those that wait for a call.
 func (p *Processor) Open() (runs, calls int) {
 	p.mu.Lock()
