--- a/review/2/main.go
+++ b/review/2/main.go
@@ -88,7 +88,7 @@
 	}
 	server := kit.StartServer(root, folder, config, w.record)
 	for begun := time.Now(); roster.Duty("n1") != "on"; time.Sleep(50 * time.Millisecond) {
-		if time.Since(begun) > 20*time.Second || server.HasEnded() {
+		if time.Since(begun) > 15*time.Second || server.HasEnded() {
 			kit.Cannot("the server was not listed")
 		}
 	}
