A reply to a call is not sent again after the link to the executor broke

Cause: after a new link the server sent the reply of each settled call again whose command had no proof (executorLink.resend). The command names the request, not the call. A run that had read the first copy went on, asked for its next call and took the second copy for that one's reply. No order of commands on the new link prevents this, as the run may ask at any moment.

Change: internal/policy/redelivery decides what is sent after a break. A reply that was written to a link is never repeated. Where the class allows a response without the call, the command to skip that call is sent, which names the call's notice, so a run that went on ignores it. Where the class needs its call nothing is sent; the request fails at its hard deadline if the reply was lost. A reply that came while there was no link was never written, and is sent. link_resumed counts what was sent and what is in doubt.

TestSetEndpoints_UnchangedOrRestoredAddresses is replaced: it passed only since the link, which its executor never read, was replaced after 5 s of silence and the reply was sent a second time, which is the fault. In its place the loop sees the addresses in both orders, and no call may be lost in either.

--- a/internal/requesttable/request.go
+++ b/internal/requesttable/request.go
@@ -21,7 +21,8 @@
 	Answered bool // the request was answered, or its client no longer waits for the answer
 	Running  bool // its run on the executor was started and has not ended
 
-	LastCommand int    // sequence number of the last command sent to the executor for this request
+	LastCommand int    // sequence number of the last command to the executor for this request
+	CommandSent bool   // that command was written to a link, which may have lost it
 	CallNotice  int64  // sequence number of the executor's notice that requested the latest call
 	CallBody    []byte // body of the latest call
 	CallSettled bool   // the latest call has ended, with or without a reply
--- a/internal/server/dial_test.go
+++ b/internal/server/dial_test.go
@@ -53,7 +53,7 @@
 }
 
 // Setting the same addresses again must have no effect. Setting addresses where nothing listens, and
-// the old ones again right after, must lose no call.
+// the old ones again right after, must lose no call, whether the loop saw the others or not.
 func TestSetEndpoints_UnchangedOrRestoredAddresses(t *testing.T) {
 	f, client := startRunningRequest(t, nil)
 	f.server.SetEndpoints(f.addresses())
@@ -62,17 +62,30 @@
 	upstreamPeer.expect("\r\nc\r\n")
 	dead := f.addresses()
 	dead.Executor, dead.Upstream = "127.0.0.9:1", "127.0.0.9:1"
+	f.onLoop(func(s *Server) { // the loop sees the restored addresses alone
+		s.SetEndpoints(dead)
+		s.SetEndpoints(f.addresses())
+	})
+	upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+	if command := f.executor.expectCommand("answer", "a1"); command["blob"] != "ZA==" {
+		t.Errorf("command %v on the link that stayed, want blob ZA==", command)
+	}
+	f.executor.sendCall(2, "a1", "e")
+	upstreamPeer = acceptConn(t, f.upstreamListener)
+	upstreamPeer.expect("\r\ne\r\n")
 	f.server.SetEndpoints(dead)
+	waitUntil(f, false, func(s *Server) bool { return s.executor.up })
+	upstreamPeer.send("a1 DATA 1\r\nf\r\n") // calls in flight end on their connection
+	waitUntil(f, 0, func(s *Server) int { return len(s.upstream.calls) })
 	f.server.SetEndpoints(f.addresses())
-	upstreamPeer.send("a1 DATA 1\r\nd\r\n") // calls in flight end on their connection
 	executor := acceptConn(t, f.executorListener)
 	executor.readCommand(false)
 	executor.sendFirstMessage("seasoned", 1)
 	executor.readCommand(true)
-	if command := executor.expectCommand("answer", "a1"); command["blob"] != "ZA==" {
-		t.Errorf("command %v, want blob ZA==", command)
+	if command := executor.expectCommand("answer", "a1"); command["blob"] != "Zg==" {
+		t.Errorf("command %v on the replaced link, want blob Zg==", command)
 	}
-	executor.sendCompletion(2, "a1", "done", "r")
+	executor.sendCompletion(3, "a1", "done", "r")
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
 }
 
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -11,6 +11,7 @@
 
 	"swiftcourse/admission"
 	"swiftcourse/internal/logging"
+	"swiftcourse/internal/policy/redelivery"
 	"swiftcourse/internal/requesttable"
 	"swiftcourse/internal/wire/processor"
 	"swiftcourse/internal/wire/simulator"
@@ -18,7 +19,7 @@
 
 // silenceTimeoutSeconds is how long a gauge request may stay unanswered before the link is
 // replaced, because the other end may have failed without closing it. It is longer than any pause of a
-// machine. Messages that the old link may have lost are sent again on the new one.
+// machine.
 const silenceTimeoutSeconds = 5
 
 // resumeTagPrefix starts the value of executorLink.resumeTag, to distinguish it from the tags of
@@ -68,7 +69,8 @@
 	l.failedLinks++
 }
 
-// reconnect replaces the link. Commands that were not acknowledged are sent again on the new one.
+// reconnect replaces the link. What follows for commands that were not acknowledged, redeliver decides
+// on the new one.
 func (l *executorLink) reconnect() {
 	_ = l.conn.Close()
 	l.failedLinks = 0
@@ -77,15 +79,16 @@
 
 func (l *executorLink) write(data []byte) { l.server.write(&l.bufferedConn, data) }
 
-// sendCommand returns the number of a new command and, if the link is up, sends the command as
-// encoded by encode. Otherwise resend sends it once the link is up.
-func (l *executorLink) sendCommand(encode func(b []byte) []byte) int {
+// sendCommand sends a command about a request, as encoded by encode. If the link is down it only
+// records that the command is to be sent, which redeliver does once the link is up.
+func (l *executorLink) sendCommand(request *requesttable.Request, encode func(b []byte) []byte) {
 	l.commandCount++
+	request.LastCommand = l.commandCount
+	request.CommandSent = l.up
 	if l.up {
 		l.server.output.scratch = encode(l.server.output.scratch[:0])
 		l.write(l.server.output.scratch)
 	}
-	return l.commandCount
 }
 
 func (l *executorLink) handleData(data []byte) (n int, err error) {
@@ -191,8 +194,7 @@
 	case notice.Tag == l.resumeTag && l.resumeTag != "":
 		l.resumeTag = ""
 		l.up = true
-		slog.Info("link_resumed", "link", "executor", "last_notice", l.lastNotice)
-		l.resend()
+		l.redeliver()
 	case l.up:
 		if acknowledged, err := strconv.Atoi(notice.Tag); err == nil {
 			l.acknowledged = max(l.acknowledged, acknowledged)
@@ -206,23 +208,72 @@
 	}
 }
 
-// resend sends every command again that the executor has not acknowledged. The executor ignores a
-// second start of a request that is still running. The server knows which runs have ended, as it has
-// read all missed notices, except for runs that end at this moment; therefore the start of a request
-// that must not run twice is not sent again. Such a request waits for a notice of its run, and fails
-// at its soft deadline if none arrives.
-func (l *executorLink) resend() {
-	s := l.server
-	for _, request := range s.requests.InArrivalOrder() {
-		class := &s.startup.Settings.Classes[request.Class]
-		switch {
-		case !request.Running || request.LastCommand <= l.acknowledged:
-		case request.CallNotice == 0 && class.Idempotency == admission.Idempotent:
-			l.sendStart(request)
-		case request.CallSettled:
-			l.sendReply(request)
+// redeliver sends, for every run, the command that redelivery.Decide returns. The server has read all
+// missed notices, so it knows which runs have ended, except for those that end at this moment.
+//
+// For a command that may be lost and can't be repeated nothing is sent: its request waits for a notice
+// of its run, and fails at its hard deadline if none arrives.
+func (l *executorLink) redeliver() {
+	var sent, inDoubt int
+	for _, request := range l.server.requests.InArrivalOrder() {
+		if !request.Running {
+			continue
+		}
+		run := l.deliveryState(request)
+		command := redelivery.Decide(run)
+		if l.sendAgain(request, command); command != redelivery.None {
+			sent++
+		} else if run.Latest != redelivery.None && run.Delivery == redelivery.Unconfirmed {
+			inDoubt++
 		}
 	}
+	slog.Info("link_resumed", "link", "executor", "last_notice", l.lastNotice,
+		"commands_sent", sent, "commands_in_doubt", inDoubt)
+}
+
+// deliveryState returns what is known about the delivery of a running request's latest command.
+func (l *executorLink) deliveryState(request *requesttable.Request) redelivery.Run {
+	class := &l.server.startup.Settings.Classes[request.Class]
+	run := redelivery.Run{
+		Latest:     latestCommand(request),
+		Delivery:   redelivery.Unconfirmed,
+		Idempotent: class.Idempotency == admission.Idempotent,
+		Degradable: class.DegradedValueFraction > 0,
+	}
+	if !request.CommandSent {
+		run.Delivery = redelivery.NotSent
+	} else if request.LastCommand <= l.acknowledged {
+		run.Delivery = redelivery.Confirmed
+	}
+	return run
+}
+
+// latestCommand returns the latest command about a running request, or None if a notice has shown that
+// the executor received it.
+func latestCommand(request *requesttable.Request) redelivery.Command {
+	switch {
+	case request.CallNotice == 0:
+		return redelivery.Start
+	case !request.CallSettled:
+		return redelivery.None
+	case request.CallReply == nil:
+		return redelivery.SkipCall
+	}
+	return redelivery.Reply
+}
+
+// sendAgain sends the command that redelivery.Decide returned for a request.
+func (l *executorLink) sendAgain(request *requesttable.Request, command redelivery.Command) {
+	switch command {
+	case redelivery.Start:
+		l.sendStart(request)
+	case redelivery.Reply:
+		l.sendReply(request)
+	case redelivery.SkipCall:
+		l.server.output.buffers.Put(request.CallReply) // it is not sent any more
+		request.CallReply = nil
+		l.sendReply(request)
+	}
 }
 
 // requestGauges requests the gauges. If an earlier request has been unanswered for longer than
@@ -253,7 +304,7 @@
 }
 
 func (l *executorLink) sendStart(request *requesttable.Request) {
-	request.LastCommand = l.sendCommand(func(b []byte) []byte {
+	l.sendCommand(request, func(b []byte) []byte {
 		return processor.AppendStart(b, request.ID, l.server.startup.ClassNames[request.Class], request.Body)
 	})
 }
@@ -282,7 +333,7 @@
 
 // sendReply sends the reply of a settled call or, if it has none, that the run continues without it.
 func (l *executorLink) sendReply(request *requesttable.Request) {
-	request.LastCommand = l.sendCommand(func(b []byte) []byte {
+	l.sendCommand(request, func(b []byte) []byte {
 		if request.CallReply == nil {
 			return processor.AppendSkipCall(b, request.ID, request.CallNotice)
 		}
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -49,6 +49,65 @@
 	client.expect(answerPrefix(1) + failedPayload)
 }
 
+// Guards against a run that is given the reply to an earlier call: after a break the executor may
+// already have the reply, and the run may ask for its next call before the reply arrives again.
+func TestExecutorLink_DoesNotResendReply(t *testing.T) {
+	for _, degradedValue := range []float64{0, 0.3} {
+		f, client := startRunningRequest(t, func(s *config.Startup) {
+			s.Settings.Classes[0].DegradedValueFraction = degradedValue
+		})
+		f.executor.sendCall(1, "a1", "c")
+		upstreamPeer := acceptConn(t, f.upstreamListener)
+		upstreamPeer.expect("\r\nc\r\n")
+		upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+		f.executor.expectCommand("answer", "a1")
+		_ = f.executor.Close() // after it received the reply, and before it acknowledged it
+		executor := acceptConn(t, f.executorListener)
+		executor.readCommand(false)
+		executor.sendFirstMessage("seasoned", 1)
+		executor.readCommand(true)
+		executor.sendCall(2, "a1", "e") // behind the last missed notice, where the run has gone on
+		if degradedValue > 0 {          // without the call of notice 1, if the run still waits for it
+			if command := executor.expectCommand("without", "a1"); command["serial"] != 1.0 {
+				t.Fatalf("command %v, want serial 1", command)
+			}
+		}
+		nextPeer := acceptConn(t, f.upstreamListener)
+		nextPeer.expect("\r\ne\r\n")
+		nextPeer.send("a1 DATA 1\r\nf\r\n")
+		if command := executor.expectCommand("answer", "a1"); command["blob"] != "Zg==" {
+			t.Fatalf("command %v, want the reply to the second call, blob Zg==", command)
+		}
+		executor.sendCompletion(3, "a1", "done", "r")
+		client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
+	}
+}
+
+// Guards against a reply that is lost for good: one that came while the link was down was never
+// sent, so the run still waits for it after any number of breaks.
+func TestExecutorLink_SendsReplyThatNoLinkCarried(t *testing.T) {
+	f, client := startRunningRequest(t, nil)
+	f.executor.sendCall(1, "a1", "c")
+	upstreamPeer := acceptConn(t, f.upstreamListener)
+	upstreamPeer.expect("\r\nc\r\n")
+	_ = f.executor.Close()
+	waitUntil(f, false, func(s *Server) bool { return s.executor.up })
+	upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+	waitUntil(f, 0, func(s *Server) int { return len(s.upstream.calls) })
+	executor := acceptConn(t, f.executorListener)
+	executor.readCommand(false)
+	_ = executor.Close() // before the server may send commands
+	executor = acceptConn(t, f.executorListener)
+	executor.readCommand(false)
+	executor.sendFirstMessage("seasoned", 1)
+	executor.readCommand(true)
+	if command := executor.expectCommand("answer", "a1"); command["blob"] != "ZA==" {
+		t.Fatalf("command %v, want blob ZA==", command)
+	}
+	executor.sendCompletion(2, "a1", "done", "r")
+	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
+}
+
 // If a link breaks before the start of a run was acknowledged, the server can't know whether the
 // executor received it. In classes whose requests must not run twice, it must not send it again.
 func TestExecutorLink_DoesNotResendNonIdempotentStart(t *testing.T) {
