A start that no link carried is sent on the next one, in every class

Callers saw: requests of classes that must not run twice, admitted while the link to the executor was down, failed at their hard deadline; they had never been sent anywhere.

For a written start of such a class nothing may be sent, so nothing was sent for an unwritten one either.

Change: redelivery.Decide returns the latest command where no link carried it. Test: TestExecutorLink_SendsStartThatNoLinkCarried, failed before (no begin within 20 s on the next link); the model of run and link now excuses a run without an end only if its latest command was written and lost.

--- a/internal/policy/redelivery/redelivery.go
+++ b/internal/policy/redelivery/redelivery.go
@@ -14,7 +14,7 @@
 //     that call. It can always be repeated, and it stands in for a reply that may be lost if the
 //     request may be degraded.
 //
-// A reply that no link carried can always be sent.
+// A command that no link carried can always be sent.
 //
 // The package has no I/O, clock, goroutine or state.
 package redelivery
@@ -57,11 +57,15 @@
 
 // Decide returns the command to send for the run.
 func Decide(run Run) Command {
-	switch {
-	case run.Delivery == Confirmed, run.Latest == Start && !run.Idempotent:
-		return None
-	case run.Delivery == NotSent, run.Latest == Start:
+	if run.Delivery == NotSent {
 		return run.Latest
+	}
+	if run.Delivery == Confirmed {
+		return None
+	}
+	switch {
+	case run.Latest == Start && run.Idempotent:
+		return Start
 	case run.Latest == Reply && run.Degradable, run.Latest == SkipCall:
 		return SkipCall
 	}
--- a/internal/policy/redelivery/redelivery_test.go
+++ b/internal/policy/redelivery/redelivery_test.go
@@ -13,7 +13,7 @@
 		want Command
 	}{
 		"nothing to deliver":            {Run{Latest: None, Delivery: Unconfirmed, Degradable: true}, None},
-		"start not sent":                {Run{Latest: Start, Delivery: NotSent, Idempotent: true}, Start},
+		"start not sent":                {Run{Latest: Start, Delivery: NotSent}, Start},
 		"reply not sent":                {Run{Latest: Reply, Delivery: NotSent, Degradable: true}, Reply},
 		"skip not sent":                 {Run{Latest: SkipCall, Delivery: NotSent}, SkipCall},
 		"start unconfirmed":             {Run{Latest: Start, Delivery: Unconfirmed, Idempotent: true}, Start},
@@ -58,9 +58,9 @@
 		l.breakLink()
 		l.resume()
 		l.playToEnd()
-		startLost := l.run.Latest == Start && !l.run.Idempotent && !l.executor.receivedLatest
-		replyLost := l.run.Latest == Reply && !l.run.Degradable &&
-			l.run.Delivery == Unconfirmed && !l.executor.receivedLatest
+		lost := l.run.Delivery == Unconfirmed && !l.executor.receivedLatest
+		startLost := lost && l.run.Latest == Start && !l.run.Idempotent
+		replyLost := lost && l.run.Latest == Reply && !l.run.Degradable
 		if !l.ended && !startLost && !replyLost {
 			t.Fatalf("the run never ends: server %+v, executor %+v", l.run, l.executor)
 		}
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// Guards against requests that wait out their whole deadline: a start that came while the link was down
+// was never sent, so the run can't have started, and it is sent on the next link in every class.
+func TestExecutorLink_SendsStartThatNoLinkCarried(t *testing.T) {
+	for _, idempotency := range []admission.Idempotency{admission.AtMostOnce, admission.Deduplicated} {
+		f := startServer(t, func(s *config.Startup) {
+			s.Settings.Classes[0].Idempotency, s.Settings.Classes[0].DeduplicationWindow = idempotency, 20
+		})
+		client := f.dialClient()
+		_ = f.executor.Close()
+		waitUntil(f, false, func(s *Server) bool { return s.executor.up })
+		client.send("%s", requestFrame(1, "a1", "x", withKey("k")))
+		waitUntil(f, true, func(s *Server) bool {
+			request := s.requests.Get("a1")
+			return request != nil && request.Running
+		})
+		executor := acceptConn(t, f.executorListener)
+		executor.readCommand(false)
+		executor.sendFirstMessage("seasoned", 1)
+		executor.readCommand(true)
+		executor.expectCommand("begin", "a1")
+		executor.sendCompletion(1, "a1", "done", "r")
+		client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
+	}
+}
+
 // If the executor's machine fails without closing the link, the link stays open but silent, and the
 // server must replace it.
 func TestExecutorLink_SilentLinkReplaced(t *testing.T) {
