The link to the executor is handed over when its address changes

Cause: the server closed the old link at once, with commands under way on it, and put itself in the doubt that redelivery is for.

Change: no further command is sent on the old link, the gauges are asked for as a barrier, and the link is closed at the answer, when the executor has read all commands, or after 0.25 s. What comes meanwhile is sent on the new link.

Tests: TestSetEndpoints_HandsOverExecutorLink, failed before (the old link ended before the reply on it was read); TestSetEndpoints_HandOverTimesOut. TestDrain_AnswersAllAndExits: its executor now answers on the old link, as the protocol has it; it read nothing there, so the hand-over took its 0.25 s and the request to close came before the result instead of after it. What it checks stays.

--- a/internal/server/dial.go
+++ b/internal/server/dial.go
@@ -120,7 +120,7 @@
 func (s *Server) replaceOutdatedConns() {
 	current := s.endpoints.Load()
 	if e := s.executor; e.conn != nil && e.address != current.Executor {
-		e.reconnect()
+		e.handOver()
 	}
 	if r := s.registry; r.conn != nil && r.address != current.Registry {
 		r.reconnect(errAddressChanged)
--- a/internal/server/dial_test.go
+++ b/internal/server/dial_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"swiftcourse/admission"
 	"swiftcourse/internal/config"
 	"swiftcourse/internal/logging"
 )
@@ -89,6 +90,54 @@
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
 }
 
+// Guards against commands that are lost when the executor's address changes: the old link is closed
+// only once the executor has received them, and what comes meanwhile is sent on the new one.
+func TestSetEndpoints_HandsOverExecutorLink(t *testing.T) {
+	f, client := startRunningRequest(t, func(s *config.Startup) {
+		s.Settings.Classes[0].Idempotency = admission.AtMostOnce
+	})
+	f.executor.sendCall(1, "a1", "c")
+	upstreamPeer := acceptConn(t, f.upstreamListener)
+	upstreamPeer.expect("\r\nc\r\n")
+	upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+	waitUntil(f, 0, func(s *Server) int { return len(s.upstream.calls) })
+	f.executorListener = listenLoopback(t)
+	f.onLoop(func(s *Server) {
+		s.SetEndpoints(f.addresses())
+		s.replaceOutdatedConns()
+	})
+	client.send("%s%s", requestFrame(2, "a2", "x"), healthCheck(3))
+	client.expect(answerPrefix(3)) // shows that the request was read
+	f.executor.expectCommand("answer", "a1")
+	if command := f.executor.readCommand(true); command["msg"] != "usage" {
+		t.Fatalf("command %v on the old link after the change, want usage", command)
+	}
+	executor := acceptConn(t, f.executorListener)
+	executor.readCommand(false)
+	executor.sendFirstMessage("seasoned", 1)
+	executor.readCommand(true)
+	executor.expectCommand("begin", "a2") // and nothing again for a1
+	executor.sendCompletion(2, "a1", "done", "r")
+	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
+	if rest, err := io.ReadAll(f.executor.in); err != nil || len(rest) > 0 {
+		t.Errorf("read %q, error %v on the old link; want it closed", rest, err)
+	}
+}
+
+// An executor that does not answer must not hold up the change of its address.
+func TestSetEndpoints_HandOverTimesOut(t *testing.T) {
+	f, client := startRunningRequest(t, nil)
+	f.executorListener = listenLoopback(t)
+	f.server.SetEndpoints(f.addresses())
+	executor := acceptConn(t, f.executorListener)
+	executor.readCommand(false)
+	executor.sendFirstMessage("seasoned", 1)
+	executor.readCommand(true)
+	executor.expectCommand("begin", "a1")
+	executor.sendCompletion(1, "a1", "done", "r")
+	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
+}
+
 func TestSetEndpoints_NewTrafficUsesNewAddresses(t *testing.T) {
 	f, client := startRunningRequest(t, nil)
 	f.executor.sendCall(1, "a1", "c")
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -238,6 +238,7 @@
 	}
 	f.executorListener = listenLoopback(t)
 	f.server.SetEndpoints(f.addresses()) // during the drain
+	f.executor.readCommand(true)         // answers, so that the link is handed over
 	f.executor = acceptConn(t, f.executorListener)
 	f.executor.readCommand(false)
 	f.executor.sendFirstMessage("seasoned", 1)
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -22,15 +22,22 @@
 // machine.
 const silenceTimeoutSeconds = 5
 
-// resumeTagPrefix starts the value of executorLink.resumeTag, to distinguish it from the tags of
+// handOverTimeoutSeconds bounds the time for which commands wait while a link is handed over.
+const handOverTimeoutSeconds = 0.25
+
+// barrierTagPrefix starts the value of executorLink.barrierTag, to distinguish it from the tags of
 // other gauge requests, which are command numbers.
-const resumeTagPrefix = "fence-"
+const barrierTagPrefix = "fence-"
 
 // executorLink is the link to the executor, the process that runs requests. The first link is up
 // after the executor's first message. On each further link the executor first repeats the notices
-// that the server missed. The server requests the gauges with a unique tag, resumeTag: as the
+// that the server missed. The server requests the gauges with a unique tag, barrierTag: as the
 // executor answers in order, all missed notices have been read, and the link is up, when the reply
 // with that tag arrives.
+//
+// A link that the server replaces itself, as the executor's address changed, is handed over: the server
+// sends no further command, requests the gauges with a barrierTag, and closes the link when the reply
+// arrives, as the executor has then received every command.
 type executorLink struct {
 	dialedConn
 	server            *Server
@@ -38,7 +45,9 @@
 	parser            processor.NoticeParser
 	lastNotice        int64   // number of the last notice read
 	up                bool    // commands may be sent
-	resumeTag         string  // tag of the gauge request whose reply follows the repeated notices, "" for none
+	barrierTag        string  // tag of the gauge request that the link waits for to be up or handed over, "" for none
+	handingOver       bool    // the link will be replaced when the reply with barrierTag arrives
+	lastHandedOver    int     // number of the last command sent before the link was handed over
 	failedLinks       int     // consecutive links on which the executor sent no first message
 	commandCount      int     // number of commands so far, on all links; includes those not sent yet
 	acknowledged      int     // number of the last command that the executor has confirmed
@@ -62,7 +71,8 @@
 	slog.Info("link_lost", "link", "executor", "err", &attemptError{sent, err})
 	l.release(&l.server.output.buffers)
 	l.up = false
-	l.resumeTag = ""
+	l.barrierTag = ""
+	l.handingOver = false
 	l.unansweredSince = 0
 	l.server.decisions.gaugesAt = math.Inf(-1)
 	l.server.dial(dialTarget{addressOf: executorAddress, handler: l, failures: l.failedLinks})
@@ -146,8 +156,48 @@
 		l.server.startController(executorStart{cold: notice.Cold, secondsAgo: notice.Duration})
 		return
 	}
-	l.resumeTag = resumeTagPrefix + strconv.Itoa(l.commandCount)
-	l.write(processor.AppendReadGauges(nil, l.resumeTag))
+	l.requestBarrier()
+}
+
+// requestBarrier requests the gauges with a new barrierTag.
+func (l *executorLink) requestBarrier() {
+	l.barrierTag = barrierTagPrefix + strconv.Itoa(l.commandCount)
+	l.write(processor.AppendReadGauges(nil, l.barrierTag))
+}
+
+// handOver replaces the link without losing a command: no further command is sent on it, and it is
+// closed once the executor has received those before, or after handOverTimeoutSeconds.
+func (l *executorLink) handOver() {
+	if l.handingOver {
+		return
+	}
+	if !l.up { // nothing was sent on this link
+		l.reconnect()
+		return
+	}
+	l.up = false
+	l.handingOver = true
+	l.lastHandedOver = l.commandCount
+	l.requestBarrier()
+	old := l.conn
+	l.server.loop.timers.Schedule(l.server.now()+handOverTimeoutSeconds, func() {
+		if l.handingOver && l.owns(old) {
+			l.reconnect()
+		}
+	})
+	l.server.scheduleTurn()
+}
+
+// handleBarrier handles the reply to the gauge request with barrierTag.
+func (l *executorLink) handleBarrier() {
+	l.barrierTag = ""
+	if l.handingOver {
+		l.acknowledged = max(l.acknowledged, l.lastHandedOver)
+		l.reconnect()
+		return
+	}
+	l.up = true
+	l.redeliver()
 }
 
 // handleRejection handles the notice that the executor did not carry out a command.
@@ -191,10 +241,8 @@
 	server := l.server
 	l.unansweredSince = 0
 	switch {
-	case notice.Tag == l.resumeTag && l.resumeTag != "":
-		l.resumeTag = ""
-		l.up = true
-		l.redeliver()
+	case notice.Tag == l.barrierTag && l.barrierTag != "":
+		l.handleBarrier()
 	case l.up:
 		if acknowledged, err := strconv.Atoi(notice.Tag); err == nil {
 			l.acknowledged = max(l.acknowledged, acknowledged)
--- a/internal/server/testconn_test.go
+++ b/internal/server/testconn_test.go
@@ -75,9 +75,9 @@
 }
 
 // readCommand returns the next command to the executor other than a gauge request, and answers the
-// gauge requests before it. With untilResumeTag it also returns at the first gauge request with a
-// resume tag, after answering it.
-func (e *testConn) readCommand(untilResumeTag bool) map[string]any {
+// gauge requests before it. With untilBarrier it also returns at the first gauge request with a
+// barrier tag, after answering it.
+func (e *testConn) readCommand(untilBarrier bool) map[string]any {
 	e.t.Helper()
 	for {
 		var command map[string]any
@@ -88,7 +88,7 @@
 			return command
 		}
 		e.send(`{"msg":"used","cookie":"%s","stats":[0.5,3]}`+"\n", command["cookie"])
-		if untilResumeTag && strings.HasPrefix(command["cookie"].(string), "fence") {
+		if untilBarrier && strings.HasPrefix(command["cookie"].(string), barrierTagPrefix) {
 			return command
 		}
 	}
