--- a/internal/policy/redelivery/redelivery.go
+++ b/internal/policy/redelivery/redelivery.go
@@ -55,6 +55,9 @@
 	Degradable bool     // the request may be answered without the call
 }
 
+// InDoubt reports whether the latest command may have been lost.
+func (r Run) InDoubt() bool { return r.Latest != None && r.Delivery == Unconfirmed }
+
 // Decide returns the command to send for the run.
 func Decide(run Run) Command {
 	if run.Delivery == NotSent {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -11,7 +11,6 @@
 
 	"swiftcourse/admission"
 	"swiftcourse/internal/logging"
-	"swiftcourse/internal/policy/redelivery"
 	"swiftcourse/internal/requesttable"
 	"swiftcourse/internal/wire/processor"
 	"swiftcourse/internal/wire/simulator"
@@ -89,18 +88,6 @@
 
 func (l *executorLink) write(data []byte) { l.server.write(&l.bufferedConn, data) }
 
-// sendCommand sends a command about a request, as encoded by encode. If the link is down it only
-// records that the command is to be sent, which redeliver does once the link is up.
-func (l *executorLink) sendCommand(request *requesttable.Request, encode func(b []byte) []byte) {
-	l.commandCount++
-	request.LastCommand = l.commandCount
-	request.CommandSent = l.up
-	if l.up {
-		l.server.output.scratch = encode(l.server.output.scratch[:0])
-		l.write(l.server.output.scratch)
-	}
-}
-
 func (l *executorLink) handleData(data []byte) (n int, err error) {
 	for {
 		end := bytes.IndexByte(data[n:], '\n')
@@ -256,74 +243,6 @@
 	}
 }
 
-// redeliver sends, for every run, the command that redelivery.Decide returns. The server has read all
-// missed notices, so it knows which runs have ended, except for those that end at this moment.
-//
-// For a command that may be lost and can't be repeated nothing is sent: its request waits for a notice
-// of its run, and fails at its hard deadline if none arrives.
-func (l *executorLink) redeliver() {
-	var sent, inDoubt int
-	for _, request := range l.server.requests.InArrivalOrder() {
-		if !request.Running {
-			continue
-		}
-		run := l.deliveryState(request)
-		command := redelivery.Decide(run)
-		if l.sendAgain(request, command); command != redelivery.None {
-			sent++
-		} else if run.Latest != redelivery.None && run.Delivery == redelivery.Unconfirmed {
-			inDoubt++
-		}
-	}
-	slog.Info("link_resumed", "link", "executor", "last_notice", l.lastNotice,
-		"commands_sent", sent, "commands_in_doubt", inDoubt)
-}
-
-// deliveryState returns what is known about the delivery of a running request's latest command.
-func (l *executorLink) deliveryState(request *requesttable.Request) redelivery.Run {
-	class := &l.server.startup.Settings.Classes[request.Class]
-	run := redelivery.Run{
-		Latest:     latestCommand(request),
-		Delivery:   redelivery.Unconfirmed,
-		Idempotent: class.Idempotency == admission.Idempotent,
-		Degradable: class.DegradedValueFraction > 0,
-	}
-	if !request.CommandSent {
-		run.Delivery = redelivery.NotSent
-	} else if request.LastCommand <= l.acknowledged {
-		run.Delivery = redelivery.Confirmed
-	}
-	return run
-}
-
-// latestCommand returns the latest command about a running request, or None if a notice has shown that
-// the executor received it.
-func latestCommand(request *requesttable.Request) redelivery.Command {
-	switch {
-	case request.CallNotice == 0:
-		return redelivery.Start
-	case !request.CallSettled:
-		return redelivery.None
-	case request.CallReply == nil:
-		return redelivery.SkipCall
-	}
-	return redelivery.Reply
-}
-
-// sendAgain sends the command that redelivery.Decide returned for a request.
-func (l *executorLink) sendAgain(request *requesttable.Request, command redelivery.Command) {
-	switch command {
-	case redelivery.Start:
-		l.sendStart(request)
-	case redelivery.Reply:
-		l.sendReply(request)
-	case redelivery.SkipCall:
-		l.server.output.buffers.Put(request.CallReply) // it is not sent any more
-		request.CallReply = nil
-		l.sendReply(request)
-	}
-}
-
 // requestGauges requests the gauges. If an earlier request has been unanswered for longer than
 // silenceTimeoutSeconds, it replaces the link instead.
 func (l *executorLink) requestGauges() {
@@ -343,79 +262,3 @@
 	l.server.output.scratch = processor.AppendReadGauges(scratch, strconv.Itoa(l.commandCount))
 	l.write(l.server.output.scratch)
 }
-
-func (l *executorLink) start(request *requesttable.Request) {
-	if !request.Running && !request.Answered {
-		request.Running = true
-		l.sendStart(request)
-	}
-}
-
-func (l *executorLink) sendStart(request *requesttable.Request) {
-	l.sendCommand(request, func(b []byte) []byte {
-		return processor.AppendStart(b, request.ID, l.server.startup.ClassNames[request.Class], request.Body)
-	})
-}
-
-// awaitsCall reports whether a run waits for its upstream call.
-func awaitsCall(request *requesttable.Request) bool {
-	return request.CallNotice != 0 && !request.CallSettled
-}
-
-// reply sends the reply of the call that a run waits for.
-func (l *executorLink) reply(request *requesttable.Request, body []byte) {
-	if awaitsCall(request) {
-		request.CallSettled = true
-		request.CallReply = l.server.output.buffers.Copy(body)
-		l.sendReply(request)
-	}
-}
-
-// skipCall tells the executor to continue a run without the call that it waits for.
-func (l *executorLink) skipCall(request *requesttable.Request) {
-	if awaitsCall(request) {
-		request.CallSettled = true
-		l.sendReply(request)
-	}
-}
-
-// sendReply sends the reply of a settled call or, if it has none, that the run continues without it.
-func (l *executorLink) sendReply(request *requesttable.Request) {
-	l.sendCommand(request, func(b []byte) []byte {
-		if request.CallReply == nil {
-			return processor.AppendSkipCall(b, request.ID, request.CallNotice)
-		}
-		return processor.AppendReply(b, request.ID, request.CallReply)
-	})
-}
-
-// executorStart describes when and how the executor started.
-type executorStart struct {
-	cold       bool    // the executor has to warm up
-	secondsAgo float64 // how long ago it started
-}
-
-// startController creates the admission controller. If the executor started cold, the controller's
-// slow start counts from the executor's start.
-func (s *Server) startController(start executorStart) {
-	if s.drain.started() { // the server drains without having run a request, and starts none now
-		slog.Info("controller_not_started", "slow_start", start.cold, "draining", true)
-		return
-	}
-	slog.Info("controller_started", "slow_start", start.cold, "ago_s", logging.FormatDecimal(start.secondsAgo, 3))
-	settings := s.startup.Settings
-	settings.SlowStart.Duration = 0
-	at := s.now()
-	if start.cold { // a warm executor needs no slow start, whenever it started
-		settings.SlowStart.Duration = s.startup.SlowStartDuration
-		at -= min(start.secondsAgo, settings.SlowStart.Duration)
-	}
-	s.decisions.controller = admission.New(s.startup.Seed, settings)
-	if s.fleet.quotas != nil {
-		s.fleet.quotas.allowances = nil // so that the controller is notified of all of them
-	}
-	s.executeActions(s.decisions.controller.Decide(at, []admission.Event{{Kind: admission.Started}}), at)
-	s.sweep()
-	s.scheduleEvery(sweepIntervalSeconds, s.sweep)
-	s.scheduleTurn()
-}
