--- a/internal/server/dial_test.go
+++ b/internal/server/dial_test.go
@@ -79,10 +79,7 @@
 	upstreamPeer.send("a1 DATA 1\r\nf\r\n") // calls in flight end on their connection
 	waitUntil(f, 0, func(s *Server) int { return len(s.upstream.calls) })
 	f.server.SetEndpoints(f.addresses())
-	executor := acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor := f.acceptResumedLink()
 	if command := executor.expectCommand("answer", "a1"); command["blob"] != "Zg==" {
 		t.Errorf("command %v on the replaced link, want blob Zg==", command)
 	}
@@ -112,10 +109,7 @@
 	if command := f.executor.readCommand(true); command["msg"] != "usage" {
 		t.Fatalf("command %v on the old link after the change, want usage", command)
 	}
-	executor := acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor := f.acceptResumedLink()
 	executor.expectCommand("begin", "a2") // and nothing again for a1
 	executor.sendCompletion(2, "a1", "done", "r")
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
@@ -129,10 +123,7 @@
 	f, client := startRunningRequest(t, nil)
 	f.executorListener = listenLoopback(t)
 	f.server.SetEndpoints(f.addresses())
-	executor := acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor := f.acceptResumedLink()
 	executor.expectCommand("begin", "a1")
 	executor.sendCompletion(1, "a1", "done", "r")
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
@@ -224,10 +215,7 @@
 	for range 3 {
 		_ = acceptConn(t, f.executorListener).Close()
 	}
-	executor := acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor := f.acceptResumedLink()
 	client := f.dialClient()
 	client.send("%s", requestFrame(1, "a1", "x"))
 	executor.expectCommand("begin", "a1")
--- a/internal/server/directive_test.go
+++ b/internal/server/directive_test.go
@@ -19,10 +19,7 @@
 	idleConns := f.openIdleClients(n, true)
 	f.executorListener = listenLoopback(t)
 	f.server.SetEndpoints(f.addresses())
-	f.executor = acceptConn(t, f.executorListener)
-	f.executor.readCommand(false)
-	f.executor.sendFirstMessage("seasoned", 1)
-	f.executor.readCommand(true)
+	f.executor = f.acceptResumedLink()
 	known := query(f, func(s *Server) int { return s.clients.limiter.Count(connlimit.StateIdle) })
 	if known != n || idleConns.Len() != n {
 		t.Errorf("%d connections known to the server, %d open; want %d", known, idleConns.Len(), n)
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -239,10 +239,7 @@
 	f.executorListener = listenLoopback(t)
 	f.server.SetEndpoints(f.addresses()) // during the drain
 	f.executor.readCommand(true)         // answers, so that the link is handed over
-	f.executor = acceptConn(t, f.executorListener)
-	f.executor.readCommand(false)
-	f.executor.sendFirstMessage("seasoned", 1)
-	f.executor.readCommand(true)
+	f.executor = f.acceptResumedLink()
 	f.executor.sendCompletion(1, "a1", "done", "r")
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r")
 	client.expect(closeRequest)
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -40,10 +40,7 @@
 func TestExecutorLink_ResendsStart(t *testing.T) {
 	f, client := startRunningRequest(t, nil)
 	_ = f.executor.Close() // before the command is acknowledged
-	executor := acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor := f.acceptResumedLink()
 	executor.expectCommand("begin", "a1")
 	executor.send(`{"msg":"reject","how":"begin","call":"a1"}` + "\n") // it never ran, so the controller ends it
 	client.expect(answerPrefix(1) + failedPayload)
@@ -62,10 +59,7 @@
 		upstreamPeer.send("a1 DATA 1\r\nd\r\n")
 		f.executor.expectCommand("answer", "a1")
 		_ = f.executor.Close() // after it received the reply, and before it acknowledged it
-		executor := acceptConn(t, f.executorListener)
-		executor.readCommand(false)
-		executor.sendFirstMessage("seasoned", 1)
-		executor.readCommand(true)
+		executor := f.acceptResumedLink()
 		executor.sendCall(2, "a1", "e") // behind the last missed notice, where the run has gone on
 		if degradedValue > 0 {          // without the call of notice 1, if the run still waits for it
 			if command := executor.expectCommand("without", "a1"); command["serial"] != 1.0 {
@@ -97,10 +91,7 @@
 	executor := acceptConn(t, f.executorListener)
 	executor.readCommand(false)
 	_ = executor.Close() // before the server may send commands
-	executor = acceptConn(t, f.executorListener)
-	executor.readCommand(false)
-	executor.sendFirstMessage("seasoned", 1)
-	executor.readCommand(true)
+	executor = f.acceptResumedLink()
 	if command := executor.expectCommand("answer", "a1"); command["blob"] != "ZA==" {
 		t.Fatalf("command %v, want blob ZA==", command)
 	}
@@ -121,10 +112,7 @@
 		f.executor.expectCommand("begin", "a1")
 		f.executor.expectCommand("begin", "a2")
 		_ = f.executor.Close()
-		executor := acceptConn(t, f.executorListener)
-		executor.readCommand(false)
-		executor.sendFirstMessage("seasoned", 1)
-		executor.readCommand(true)
+		executor := f.acceptResumedLink()
 		executor.sendCompletion(1, "a2", "done", "r") // the executor had received its start
 		client.expect(answerPrefix(2) + resultPrefix + "\x01r\x80")
 		client.send("%s", requestFrame(3, "a3", "x", withKey("m")))
@@ -148,10 +136,7 @@
 			request := s.requests.Get("a1")
 			return request != nil && request.Running
 		})
-		executor := acceptConn(t, f.executorListener)
-		executor.readCommand(false)
-		executor.sendFirstMessage("seasoned", 1)
-		executor.readCommand(true)
+		executor := f.acceptResumedLink()
 		executor.expectCommand("begin", "a1")
 		executor.sendCompletion(1, "a1", "done", "r")
 		client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -141,6 +141,21 @@
 	return f, client
 }
 
+// acceptResumedLink accepts a further link from the server, and acts as the executor until commands may
+// be sent on it.
+func (f *fixture) acceptResumedLink() *testConn {
+	f.Helper()
+	executor := acceptConn(f.T, f.executorListener)
+	if hello := executor.readCommand(false); hello["msg"] != "hello" {
+		f.Fatalf("first message %v on a further link, want hello", hello)
+	}
+	executor.sendFirstMessage("seasoned", 1)
+	if command := executor.readCommand(true); command["msg"] != "usage" {
+		f.Fatalf("command %v before the link was resumed, want usage", command)
+	}
+	return executor
+}
+
 func (f *fixture) addresses() config.Addresses {
 	return config.Addresses{Executor: f.executorListener.Addr().String(), Registry: f.registry.Addr(),
 		Upstream: f.upstreamListener.Addr().String()}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -39,10 +39,7 @@
 		_ = client.Close()
 		if i%50 == 49 {
 			_ = f.executor.Close()
-			f.executor = acceptConn(t, f.executorListener)
-			f.executor.readCommand(false)
-			f.executor.sendFirstMessage("seasoned", 1)
-			f.executor.readCommand(true)
+			f.executor = f.acceptResumedLink()
 		}
 	}
 	go func() { // reads the executor's commands, so that the server's output does not block
