--- a/internal/policy/redelivery/redelivery.go
+++ b/internal/policy/redelivery/redelivery.go
@@ -60,13 +60,11 @@
 
 // Decide returns the command to send for the run.
 func Decide(run Run) Command {
-	if run.Delivery == NotSent {
+	switch {
+	case run.Delivery == NotSent:
 		return run.Latest
-	}
-	if run.Delivery == Confirmed {
+	case run.Delivery == Confirmed:
 		return None
-	}
-	switch {
 	case run.Latest == Start && run.Idempotent:
 		return Start
 	case run.Latest == Reply && run.Degradable, run.Latest == SkipCall:
--- a/internal/requesttable/request.go
+++ b/internal/requesttable/request.go
@@ -22,7 +22,7 @@
 	Running  bool // its run on the executor was started and has not ended
 
 	LastCommand int    // sequence number of the last command to the executor for this request
-	CommandSent bool   // that command was written to a link, which may have lost it
+	CommandSent bool   // the last command was written to a link, which may have lost it
 	CallNotice  int64  // sequence number of the executor's notice that requested the latest call
 	CallBody    []byte // body of the latest call
 	CallSettled bool   // the latest call has ended, with or without a reply
--- a/internal/server/dial_test.go
+++ b/internal/server/dial_test.go
@@ -94,9 +94,7 @@
 		s.Settings.Classes[0].Idempotency = admission.AtMostOnce
 	})
 	f.executor.sendCall(1, "a1", "c")
-	upstreamPeer := acceptConn(t, f.upstreamListener)
-	upstreamPeer.expect("\r\nc\r\n")
-	upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+	f.replyToCall("c", "d")
 	waitUntil(f, 0, func(s *Server) int { return len(s.upstream.calls) })
 	f.executorListener = listenLoopback(t)
 	f.onLoop(func(s *Server) {
@@ -151,9 +149,7 @@
 	old.send("a1 DATA 1\r\nd\r\n") // a call in flight ends on its connection
 	f.executor.expectCommand("answer", "a1")
 	f.executor.sendCall(2, "a1", "e") // the next call goes to the new address
-	upstreamPeer := acceptConn(t, f.upstreamListener)
-	upstreamPeer.expect("\r\ne\r\n")
-	upstreamPeer.send("a1 DATA 1\r\nf\r\n")
+	f.replyToCall("e", "f")
 	f.executor.expectCommand("answer", "a1")
 	f.executor.sendCompletion(3, "a1", "done", "r")
 	client.expect(answerPrefix(1) + resultPrefix + "\x01r\x80")
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -78,8 +78,8 @@
 	l.failedLinks++
 }
 
-// reconnect replaces the link. What follows for commands that were not acknowledged, redeliver decides
-// on the new one.
+// reconnect closes the link and dials a new one, on which redeliver sends what is due for commands that
+// were not acknowledged.
 func (l *executorLink) reconnect() {
 	_ = l.conn.Close()
 	l.failedLinks = 0
--- a/internal/server/executor_commands.go
+++ b/internal/server/executor_commands.go
@@ -47,7 +47,7 @@
 	if awaitsCall(request) {
 		request.CallSettled = true
 		request.CallReply = l.server.output.buffers.Copy(body)
-		l.sendReply(request)
+		l.sendCallEnd(request)
 	}
 }
 
@@ -55,12 +55,13 @@
 func (l *executorLink) skipCall(request *requesttable.Request) {
 	if awaitsCall(request) {
 		request.CallSettled = true
-		l.sendReply(request)
+		l.sendCallEnd(request)
 	}
 }
 
-// sendReply sends the reply of a settled call or, if it has none, that the run continues without it.
-func (l *executorLink) sendReply(request *requesttable.Request) {
+// sendCallEnd sends how a settled call ended: its reply or, if it has none, that the run continues
+// without the call.
+func (l *executorLink) sendCallEnd(request *requesttable.Request) {
 	l.sendCommand(request, func(b []byte) []byte {
 		if request.CallReply == nil {
 			return processor.AppendSkipCall(b, request.ID, request.CallNotice)
@@ -131,10 +132,10 @@
 	case redelivery.Start:
 		l.sendStart(request)
 	case redelivery.Reply:
-		l.sendReply(request)
+		l.sendCallEnd(request)
 	case redelivery.SkipCall:
-		l.server.output.buffers.Put(request.CallReply) // it is not sent any more
+		l.server.output.buffers.Put(request.CallReply) // set if the reply may have been lost
 		request.CallReply = nil
-		l.sendReply(request)
+		l.sendCallEnd(request)
 	}
 }
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -54,9 +54,7 @@
 			s.Settings.Classes[0].DegradedValueFraction = degradedValue
 		})
 		f.executor.sendCall(1, "a1", "c")
-		upstreamPeer := acceptConn(t, f.upstreamListener)
-		upstreamPeer.expect("\r\nc\r\n")
-		upstreamPeer.send("a1 DATA 1\r\nd\r\n")
+		f.replyToCall("c", "d")
 		f.executor.expectCommand("answer", "a1")
 		_ = f.executor.Close() // after it received the reply, and before it acknowledged it
 		executor := f.acceptResumedLink()
@@ -66,9 +64,7 @@
 				t.Fatalf("command %v, want serial 1", command)
 			}
 		}
-		nextPeer := acceptConn(t, f.upstreamListener)
-		nextPeer.expect("\r\ne\r\n")
-		nextPeer.send("a1 DATA 1\r\nf\r\n")
+		f.replyToCall("e", "f")
 		if command := executor.expectCommand("answer", "a1"); command["blob"] != "Zg==" {
 			t.Fatalf("command %v, want the reply to the second call, blob Zg==", command)
 		}
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -156,6 +156,16 @@
 	return executor
 }
 
+// replyToCall accepts an upstream connection on which the server makes a call of request a1 with the
+// given body, and sends the reply.
+func (f *fixture) replyToCall(body, reply string) {
+	f.Helper()
+	peer := acceptConn(f.T, f.upstreamListener)
+	peer.expect("FETCH a1 ")
+	peer.expect("\r\n" + body + "\r\n")
+	peer.send("a1 DATA %d\r\n%s\r\n", len(reply), reply)
+}
+
 func (f *fixture) addresses() config.Addresses {
 	return config.Addresses{Executor: f.executorListener.Addr().String(), Registry: f.registry.Addr(),
 		Upstream: f.upstreamListener.Addr().String()}
