--- a/review/kit2/platform.go
+++ b/review/kit2/platform.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,19 +19,80 @@
 	"time"
 )
 
+// Roster is a roster. Balancers see its list 1.5 s late.
+type Roster struct {
+	Addr string
+
+	mu     sync.Mutex
+	on     map[string]bool
+	seen   map[string]time.Time // the last report, by name
+	lists  []list
+	record *Record
+}
+
+type list struct {
+	at    time.Time
+	names []string
+}
+
+const (
+	rosterLapse = 3 * time.Second         // after its last report a server is off the list
+	rosterLag   = 1500 * time.Millisecond // by which balancers see changes late
+)
+
 // StartRoster starts a roster that takes every report.
-func StartRoster() (addr string, err error) {
+func StartRoster(record *Record) (*Roster, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return nil, err
 	}
+	r := &Roster{Addr: listener.Addr().String(), on: map[string]bool{}, seen: map[string]time.Time{}, record: record}
+	go func() { _ = http.Serve(listener, http.HandlerFunc(r.take)) }()
 	go func() {
-		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			w.WriteHeader(http.StatusNoContent)
-		}))
+		for range time.Tick(100 * time.Millisecond) {
+			r.mu.Lock()
+			r.lists = append(r.lists, list{time.Now(), r.listed()})
+			r.mu.Unlock()
+		}
 	}()
-	return listener.Addr().String(), nil
+	return r, nil
+}
+
+func (r *Roster) take(w http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	name := strings.TrimPrefix(request.URL.Path, "/roster/")
+	on := strings.Contains(string(body), `"on"`)
+	r.mu.Lock()
+	if was, known := r.on[name]; !known || was != on {
+		r.record.Printf("roster: %s reports on: %t", name, on)
+	}
+	r.on[name] = on
+	r.seen[name] = time.Now()
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// listed returns the servers that take work. The caller holds the lock.
+func (r *Roster) listed() (names []string) {
+	for name, on := range r.on {
+		if on && time.Since(r.seen[name]) < rosterLapse {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// List returns the servers that take work, as balancers see it.
+func (r *Roster) List() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.lists) - 1; i >= 0; i-- {
+		if time.Since(r.lists[i].at) >= rosterLag {
+			return r.lists[i].names
+		}
+	}
+	return nil
 }
 
 // StartCatalogue starts a catalogue. delay says how long a call takes; it may be called from many goroutines.
--- a/review/kit2/settings.go
+++ b/review/kit2/settings.go
@@ -24,6 +24,7 @@
 	Say          string
 	SlackMs      float64
 	Servers      int
+	ListFollows  bool // the roster's list follows the servers' health
 }
 
 // Settings returns the settings object of a server.
@@ -50,7 +51,7 @@
 		"familyInfo": map[string]any{"below": d.Below, "callShare": d.CallShare, "classCalls": calls,
 			"classSkipWorth": skip, "cold": false, "cores": d.Cores, "deepChecks": false, "depWindowMs": 5000,
 			"gauges": []string{"cpu_busy", "runnable", "mem_used", "sockets"}, "heededMs": 1000, "idleMs": 30000,
-			"kbPerKey": d.KeyKb, "listFollows": false, "memLimitKb": d.MemoryKb, "passesDeadline": true,
+			"kbPerKey": d.KeyKb, "listFollows": d.ListFollows, "memLimitKb": d.MemoryKb, "passesDeadline": true,
 			"preemption": "none", "runFactor": d.RunFactor, "say": d.Say, "shareForMs": 0, "staysForMs": 200,
 			"tellsGone": true, "upstreams": 4},
 		"feedback": map[string]any{"fields": []string{"q", "lat_ms"}, "how": "answers"},
@@ -91,3 +92,19 @@
 		Below: "none", Say: "level", SlackMs: 60, Servers: servers,
 	}
 }
+
+// KigaliPricing returns the deployment kigali-pricing with 6 cores a server and calls to the next tier.
+func KigaliPricing(servers int) *Deployment {
+	return &Deployment{
+		Classes: []Class{
+			{Name: "fare-lookup", Effect: "idempotent", AimMs: 1800, LimitMs: 4500, WindowMs: 5000, Worth: 1, LateWorth: 0.2,
+				SkipWorth: 0.3, Calls: true},
+			{Name: "trip-price", Effect: "idempotent", AimMs: 1800, LimitMs: 4500, WindowMs: 5000, Worth: 2, LateWorth: 0.2,
+				SkipWorth: 0.3, Calls: true},
+		},
+		Tenants:     map[string]float64{"umujyi-bus": 104, "nyabugogo-lines": 49, "huye-express": 42, "musanze-coach": 37},
+		TenantNames: []string{"umujyi-bus", "nyabugogo-lines", "huye-express", "musanze-coach"},
+		Cores:       6, Fall: 8, FallMs: 1500, GraceMs: 2000, MemoryKb: 58116, RunFactor: 16, KeyKb: 128.92,
+		Below: "tier", Say: "weight", SlackMs: 60, Servers: servers, ListFollows: true,
+	}
+}
