--- a/review/kit2/balancer.go
+++ b/review/kit2/balancer.go
@@ -56,17 +56,35 @@
 	c.waiting[c.last] = call.answer
 	fields["recv"] = strconv.FormatInt(time.Now().UnixMilli(), 10)
 	fields["src"] = "1"
-	b := []byte{0x94, 0}
-	b = appendUint(b, c.last)
+	_, err := c.conn.Write(appendRequest(nil, c.last, class, fields, body))
+	return call, err
+}
+
+// SendMany writes many requests in one write, and waits for no answer. The fields recv and src are added.
+func (c *Conn) SendMany(count int, class string, fields func(i int) map[string]string, body string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b []byte
+	for i := range count {
+		c.last++
+		f := fields(i)
+		f["recv"] = strconv.FormatInt(time.Now().UnixMilli(), 10)
+		f["src"] = "1"
+		b = appendRequest(b, c.last, class, f, body)
+	}
+	_, err := c.conn.Write(b)
+	return err
+}
+
+func appendRequest(b []byte, number uint64, class string, fields map[string]string, body string) []byte {
+	b = appendUint(append(b, 0x94, 0), number)
 	b = appendStr(b, class)
 	b = append(b, 0x92, 0x80|byte(len(fields)))
 	for k, v := range fields {
 		b = appendStr(appendStr(b, k), v)
 	}
 	b = append(b, 0xc5, byte(len(body)>>8), byte(len(body)))
-	b = append(b, body...)
-	_, err := c.conn.Write(b)
-	return call, err
+	return append(b, body...)
 }
 
 // Wait waits for the answer. It returns the kind none if there is none in time.
@@ -193,7 +211,10 @@
 	if len(s) < 32 {
 		return append(append(b, 0xa0|byte(len(s))), s...)
 	}
-	return append(append(b, 0xd9, byte(len(s))), s...)
+	if len(s) < 256 {
+		return append(append(b, 0xd9, byte(len(s))), s...)
+	}
+	return append(append(b, 0xda, byte(len(s)>>8), byte(len(s))), s...)
 }
 
 func appendUint(b []byte, n uint64) []byte {
--- a/review/kit2/platform.go
+++ b/review/kit2/platform.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -245,7 +246,7 @@
 }
 
 // Signal sends the process a signal.
-func (s *Server) Signal(signal syscall.Signal) { _ = s.cmd.Process.Signal(signal) }
+func (s *Server) Signal(number syscall.Signal) { _ = s.cmd.Process.Signal(number) }
 
 // Ended reports whether the process has ended.
 func (s *Server) Ended() bool {
@@ -347,6 +348,8 @@
 		err    error
 	}
 	done := make(chan outcome, 1)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		broken, seen, err := play(c)
 		done <- outcome{broken, seen, err}
@@ -354,6 +357,8 @@
 	var o outcome
 	select {
 	case o = <-done:
+	case <-stopped:
+		o.err = fmt.Errorf("stopped by a signal")
 	case <-time.After(115 * time.Second):
 		o.err = fmt.Errorf("the case took over 115 s")
 	}
@@ -371,3 +376,6 @@
 	fmt.Println("held:", o.seen)
 	return 0
 }
+
+// Pid returns the process's id.
+func (s *Server) Pid() int { return s.cmd.Process.Pid }
--- a/review/kit2/settings.go
+++ b/review/kit2/settings.go
@@ -1,5 +1,7 @@
 package kit2
 
+import "cmp"
+
 // Class is one class of a deployment, with what the settings tell of it.
 type Class struct {
 	Name, Effect                string
@@ -10,21 +12,22 @@
 
 // Deployment is a small deployment, in the figures of its site file.
 type Deployment struct {
-	Classes      []Class
-	Tenants      map[string]float64 // requests a second, of the fleet
-	TenantNames  []string
-	Cores        int
-	Fall, FallMs float64
-	GraceMs      float64
-	MemoryKb     float64
-	RunFactor    float64
-	KeyKb        float64
-	Below        string // none, tier, shared
-	CallShare    float64
-	Say          string
-	SlackMs      float64
-	Servers      int
-	ListFollows  bool // the roster's list follows the servers' health
+	Classes           []Class
+	Tenants           map[string]float64 // requests a second, of the fleet
+	TenantNames       []string
+	Cores             int
+	Fall, FallMs      float64
+	GraceMs           float64
+	MemoryKb          float64
+	RunFactor         float64
+	KeyKb             float64
+	Below             string // none, tier, shared
+	CallShare         float64
+	Say               string
+	SlackMs           float64
+	Servers           int
+	Sockets, MemoryMB int  // limits of a server, 1,024 and 192 MB where 0
+	ListFollows       bool // the roster's list follows the servers' health
 }
 
 // Settings returns the settings object of a server.
@@ -65,7 +68,7 @@
 func (d *Deployment) Config(name, listen, processor, roster, catalog string) map[string]any {
 	config := map[string]any{"name": name, "listen": listen, "processor": processor, "roster": roster,
 		"seed": "8c1f30d27a5be964", "stop_ms": 3200, "settings": d.Settings(),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(d.MemoryMB, 192), "sockets": cmp.Or(d.Sockets, 1024)}}
 	if catalog != "" {
 		config["catalog"] = catalog
 	}
