--- a/review/kit2/platform.go
+++ b/review/kit2/platform.go
@@ -162,6 +162,7 @@
 	Env        []string
 	Config     map[string]any // the configuration, see DEPLOY.md
 	Conf       string         // the operator's file, "" for none
+	Args       string         // words after the command, such as " forward"
 
 	folder string
 	cmd    *exec.Cmd
@@ -217,7 +218,7 @@
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		return err
 	}
-	s.cmd = exec.Command("/bin/sh", "-c", command)
+	s.cmd = exec.Command("/bin/sh", "-c", command+s.Args)
 	s.cmd.Dir = root
 	s.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "RELAY_NAME=" + s.Name, "RELAY_LISTEN=" + s.Addr,
 		"RELAY_CONFIG=" + config, "TMPDIR=" + private}, s.Env...)
