--- a/review/kit2/processor.go
+++ b/review/kit2/processor.go
@@ -208,7 +208,9 @@
 	time.AfterFunc(p.Work(r.class, r.id), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		next()
+		if p.runs[r.id] == r {
+			next()
+		}
 	})
 }
 
@@ -240,3 +242,10 @@
 	line, _ := json.Marshal(m)
 	_, _ = p.link.Write(append(line, '\n'))
 }
+
+// Reset makes the processor begin anew, as it does when its server is killed: with no run and no notice.
+func (p *Processor) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs, p.notices, p.serial, p.link = map[string]*run{}, nil, 0, nil
+}
