Bound the bytes that clients' requests hold, while they are read

Cause: a heap profile at 54.8 MB (trial, without the kill) has 28.0 MB of it in bufferpool.Get, 8 KiB for each body however short, and 27.6 MB in the strings of requests' fields (the subject, up to 16 KiB). What bounded them was a number, 32 requests a connection, and the check of memory in the controller counts what requests say of the executor's memory, after they were read.

Change: a budget in bytes, an eighth of the memory limit, is asked before a request is kept, and for input that is a part of a message. What does not fit is rejected at once. Of the budget's upper half each connection may use only an equal part, so that those who hold little still get in. Bodies take what they need. 16 KiB are read from a connection at a time, in place of 64. The statistics tell client_kb, client_kb_max and memory_refusals.

--- a/internal/bench/process/cpu.go
+++ b/internal/bench/process/cpu.go
@@ -88,6 +88,20 @@
 	return resident * int64(os.Getpagesize()), nil
 }
 
+// PeakResidentBytes returns the largest resident memory that the process has had.
+func (s *Server) PeakResidentBytes() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, fromPeak, _ := strings.Cut(string(text), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(fromPeak, &kilobytes); err != nil {
+		return 0, fmt.Errorf("parse VmHWM in /proc/PID/status of server %s: %w", s.Name, err)
+	}
+	return kilobytes << 10, nil
+}
+
 // CPUSeconds returns the CPU time that the process has used.
 func (s *Server) CPUSeconds() (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.command.Process.Pid))
--- a/internal/bufferpool/pool.go
+++ b/internal/bufferpool/pool.go
@@ -4,8 +4,8 @@
 // returns it to the pool once, with Put or WriteBuffer.Release, and must not use it afterwards.
 package bufferpool
 
-// Size is the capacity of every buffer, in bytes. It is enough for a request's body, and for a line
-// with a result of 4 KiB in base64.
+// Size is the capacity of every buffer, in bytes. It is enough for a line with a result of 4 KiB in
+// base64.
 const Size = 8 << 10
 
 // maxFree is the maximum number of free buffers in a pool, which take 2 MiB: about as much as a
@@ -33,8 +33,7 @@
 	return b
 }
 
-// Put returns a buffer to the pool. It ignores a slice whose capacity is not Size, such as nil or a
-// copy of more than Size bytes.
+// Put returns a buffer to the pool. It ignores a slice whose capacity is not Size, such as nil.
 func (p *Pool) Put(b []byte) {
 	if cap(b) != Size {
 		return
@@ -44,12 +43,3 @@
 		p.free = append(p.free, b[:0])
 	}
 }
-
-// Copy returns a copy of b, in a buffer from the pool if b fits into one, else in newly allocated
-// memory.
-func (p *Pool) Copy(b []byte) []byte {
-	if len(b) > Size {
-		return append(make([]byte, 0, len(b)), b...)
-	}
-	return append(p.Get(), b...)
-}
--- a/internal/bufferpool/pool_test.go
+++ b/internal/bufferpool/pool_test.go
@@ -15,15 +15,14 @@
 		t.Fatalf("%d bytes in %d buffers, want the %d bytes of the text in 5", len(got), pool.InUse, len(text))
 	}
 	out.Release(&pool)
-	long := pool.Copy(make([]byte, Size+1))
-	pool.Put(long)
+	pool.Put(make([]byte, Size+1))
 	pool.Put(nil)
 	if pool.InUse != 0 || len(pool.free) != 5 || len(out.Buffers()) != 0 {
 		t.Errorf("after the release %d buffers in use, %d free, %d in the WriteBuffer; want 0, 5, 0",
 			pool.InUse, len(pool.free), len(out.Buffers()))
 	}
-	b := pool.Copy([]byte("x"))
-	if string(b) != "x" || pool.InUse != 1 || len(pool.free) != 4 {
-		t.Errorf("copy %q, %d buffers in use, %d free; want x, 1, 4", b, pool.InUse, len(pool.free))
+	b := pool.Get()
+	if len(b) != 0 || pool.InUse != 1 || len(pool.free) != 4 {
+		t.Errorf("buffer %q, %d buffers in use, %d free; want an empty one, 1, 4", b, pool.InUse, len(pool.free))
 	}
 }
--- a/internal/requesttable/request.go
+++ b/internal/requesttable/request.go
@@ -16,7 +16,8 @@
 	Subject       string           // the object of a read, or an idempotency key; "" for none
 	ArrivedAt     float64
 	Timeout       float64 // given by the client, from ArrivedAt; 0 for none
-	Body          []byte  // from the buffer pool
+	Body          []byte
+	HeldBytes     int // reserved for the request in the budget of its client's memory
 
 	Answered bool // the request was answered, or its client no longer waits for the answer
 	Running  bool // its run on the executor was started and has not ended
--- a/internal/requesttable/table.go
+++ b/internal/requesttable/table.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-
-	"swiftcourse/internal/bufferpool"
 )
 
 // Table holds requests by ID.
@@ -27,19 +25,13 @@
 	t.byID[request.ID] = request
 }
 
-// RemoveIfDone removes a request if it is answered and not running, and returns its buffers to the
-// pool.
-func (t *Table) RemoveIfDone(pool *bufferpool.Pool, request *Request) {
+// RemoveIfDone removes a request if it is answered and not running, and reports whether it did so.
+func (t *Table) RemoveIfDone(request *Request) bool {
 	if !request.Answered || request.Running {
-		return
+		return false
 	}
 	delete(t.byID, request.ID)
-	pool.Put(request.Body)
-	pool.Put(request.CallBody)
-	pool.Put(request.CallReply)
-	request.Body = nil
-	request.CallBody = nil
-	request.CallReply = nil
+	return true
 }
 
 // Len returns the number of requests.
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"swiftcourse/internal/bytebudget"
 	"swiftcourse/internal/policy/connlimit"
 	"swiftcourse/internal/requesttable"
 	"swiftcourse/internal/slottable"
@@ -21,6 +22,7 @@
 	limiter                *connlimit.Limiter
 	configuredHoldingSlots int // size of the holding area in the operator's settings
 	requestLists           requesttable.ListPool
+	memory                 *bytebudget.Budget // of requests, and of input that is a part of a message
 	muted                  []mutedConn
 	lingering              []*lingeringConn // in order of their deadlines
 }
@@ -34,6 +36,9 @@
 	requests   []*requesttable.Request // open requests, in a list from requestLists; nil if none
 	retryAfter float64                 // in seconds, if the connection was not admitted
 	state      connState
+
+	heldBytes    int // reserved in clientTable.memory
+	partialBytes int // the part of heldBytes for input that is a part of a message
 }
 
 // addClient creates the handler of a client's new connection.
@@ -99,6 +104,7 @@
 		})
 	}
 	c.release(&s.output.buffers)
+	c.releaseMemory(c.partialBytes)
 	s.clients.limiter.HandleClosed(c.slot())
 	s.clients.conns.Remove(c.id) // from here on c may be reused for another connection
 	for _, request := range requests {
@@ -119,14 +125,14 @@
 		}
 		if size == 0 {
 			c.observe(connlimit.EventPartialMessage, now)
-			return n, nil
+			return n, c.holdPartialMessage(len(data) - n)
 		}
 		n += size
 		if err := c.handleMessage(&message, now); err != nil {
 			return n, err
 		}
 	}
-	return n, nil
+	return n, c.holdPartialMessage(0)
 }
 
 // handleMessage handles one complete message. An error means that the rest of the input can't be
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -7,9 +7,13 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"swiftcourse/internal/bufferpool"
+	"swiftcourse/internal/wire/rpc"
 )
 
 const (
+	// readBufferBytes is how much is read from a connection at a time: the longest message. Then the other
+	// connections have their turn.
+	readBufferBytes = rpc.MaxFrame
 	// maxClientBacklogBytes bounds the bytes that a client may leave unread: 32 results of 4 KiB with
 	// their framing. See closeLargestBacklog for the bound on all clients together.
 	maxClientBacklogBytes = 136 << 10
--- a/internal/server/errors.go
+++ b/internal/server/errors.go
@@ -21,6 +21,7 @@
 	errBacklogTooLarge  = errors.New("the peer left too much output unread")
 	errHoldingAreaFull  = errors.New("the connection was not admitted, and the holding area is full")
 	errConnLimitReached = errors.New("the connection limit is reached, and no other connection can be evicted")
+	errNoClientMemory   = errors.New("clients may not hold more memory")
 )
 
 // Reasons why a request is invalid; see also invalidFieldError, duplicateMessageError and
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -215,10 +216,8 @@
 // handleCall handles the notice that a run waits for an upstream call.
 func (l *executorLink) handleCall(notice *processor.Notice, request *requesttable.Request) {
 	s := l.server
-	s.output.buffers.Put(request.CallBody)
-	s.output.buffers.Put(request.CallReply)
 	request.CallNotice = notice.Serial
-	request.CallBody = s.output.buffers.Copy(notice.Body)
+	request.CallBody = slices.Clone(notice.Body)
 	request.CallReply = nil
 	request.CallSettled = false
 	s.queueEvent(admission.Event{Kind: admission.AwaitingDownstream, RequestID: notice.ID})
--- a/internal/server/executor_commands.go
+++ b/internal/server/executor_commands.go
@@ -46,7 +46,7 @@
 func (l *executorLink) reply(request *requesttable.Request, body []byte) {
 	if awaitsCall(request) {
 		request.CallSettled = true
-		request.CallReply = l.server.output.buffers.Copy(body)
+		request.CallReply = append([]byte{}, body...) // not nil, even if it is empty
 		l.sendCallEnd(request)
 	}
 }
@@ -134,8 +134,7 @@
 	case redelivery.Reply:
 		l.sendCallEnd(request)
 	case redelivery.SkipCall:
-		l.server.output.buffers.Put(request.CallReply) // set if the reply may have been lost
-		request.CallReply = nil
+		request.CallReply = nil // set if the reply may have been lost
 		l.sendCallEnd(request)
 	}
 }
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 
 	"swiftcourse/admission"
 	"swiftcourse/internal/policy/connlimit"
@@ -33,6 +34,11 @@
 	if c.rejectEarly(message.Number, kind, now) {
 		return nil
 	}
+	heldBytes := server.requestMemory(message)
+	if !c.reserveMemory(heldBytes) {
+		c.rejectForMemory(message.Number, kind, now)
+		return nil
+	}
 	request := &requesttable.Request{
 		ID:            message.ID,
 		Connection:    c.id,
@@ -42,7 +48,8 @@
 		Subject:       server.subjectOf(kind.class, message),
 		ArrivedAt:     message.ArrivedAt,
 		Timeout:       message.Timeout,
-		Body:          server.output.buffers.Copy(message.Body),
+		Body:          slices.Clone(message.Body),
+		HeldBytes:     heldBytes,
 	}
 	c.addRequest(request, now)
 	server.requests.Add(request)
--- a/internal/server/respond.go
+++ b/internal/server/respond.go
@@ -82,7 +82,7 @@
 			s.answerShared(s.requests.Get(id), nil, admission.Failed, 0)
 		}
 	}
-	s.requests.RemoveIfDone(&s.output.buffers, request)
+	s.removeIfDone(request)
 }
 
 // cancelByClient ends a request that its client cancelled, or whose client is gone, and reports that
@@ -122,5 +122,5 @@
 		Outcome:   outcome,
 		Duration:  seconds,
 	})
-	s.requests.RemoveIfDone(&s.output.buffers, request)
+	s.removeIfDone(request)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"swiftcourse/admission"
+	"swiftcourse/internal/bytebudget"
 	"swiftcourse/internal/config"
 	"swiftcourse/internal/policy/serving"
 	"swiftcourse/internal/requesttable"
@@ -113,6 +114,7 @@
 		startup:  startup,
 		clock:    newClock(),
 		requests: requesttable.New(),
+		clients:  clientTable{memory: bytebudget.New(int(startup.MemoryBytes / clientMemoryDivisor))},
 		results:  resultcache.New(int(startup.MemoryBytes / resultCacheMemoryDivisor)),
 		drain:    newDrainState(),
 	}
@@ -150,6 +152,7 @@
 	acceptor.attach(s)
 	s.acceptor = acceptor
 	engine, err := gnet.NewClient(s, gnet.WithNumEventLoop(1), gnet.WithTicker(true),
+		gnet.WithReadBufferCap(readBufferBytes),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(gnetLogger{}), gnet.WithLogLevel(logging.WarnLevel))
 	if err != nil {
 		return err
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -59,10 +59,11 @@
 
 // connStatistics counts connections.
 type connStatistics struct {
-	malformed    int // muted or closed after a protocol error
-	evicted      int // closed to make room for other connections
-	silent       int // closed because they sent nothing in time
-	askedToClose int
+	memoryRefusals int // requests rejected, and connections muted, because clients may not hold more memory
+	malformed      int // muted or closed after a protocol error
+	evicted        int // closed to make room for other connections
+	silent         int // closed because they sent nothing in time
+	askedToClose   int
 }
 
 // loopStatistics measures the loop. Times are in seconds.
@@ -127,6 +128,9 @@
 		"timers_without_gauges", stats.timersWithoutGauges,
 		"timers", s.loop.timers.Len(),
 		"buffers", s.output.buffers.InUse,
+		"client_kb", s.clients.memory.Used()/1024,
+		"client_kb_max", s.clients.memory.Limit()/1024,
+		"memory_refusals", stats.memoryRefusals,
 		"memory_kb", residentKB(),
 		"heap_kb", liveHeapKB(),
 		"healthy", s.isHealthy(),
