Forwarders pass long subjects and keys on whole

What callers would have seen: behind a forwarder, two reads whose subjects differ after the 255th byte have one subject at the worker, which may answer the second with the result of the first.

Cause: appendString cut every string to 255 bytes, the most that a string with a length of one byte can have; parsed subjects have up to 16 KiB.

Change: longer strings are encoded with a length of two bytes.

--- a/internal/wire/rpc/decoder.go
+++ b/internal/wire/rpc/decoder.go
@@ -42,6 +42,7 @@
 	formatFixExt1     = 0xd4
 	formatFixExt16    = 0xd8
 	formatStr8        = 0xd9
+	formatStr16       = 0xda
 	formatStr32       = 0xdb
 	formatArray16     = 0xdc
 	formatArray32     = 0xdd
--- a/internal/wire/rpc/encoder.go
+++ b/internal/wire/rpc/encoder.go
@@ -2,9 +2,9 @@
 
 import "encoding/binary"
 
-// maxEncodedString is the largest length of an encoded string in bytes. Longer strings are
-// truncated.
-const maxEncodedString = 255
+// maxEncodedString is the largest length of an encoded string in bytes, which no parsed message
+// exceeds. Longer strings are truncated.
+const maxEncodedString = MaxFrame
 
 // appendNumber appends an integer.
 func appendNumber(b []byte, number uint64) []byte {
@@ -24,7 +24,11 @@
 		return append(b, text...)
 	}
 	text = text[:min(len(text), maxEncodedString)]
-	b = append(b, formatStr8, byte(len(text)))
+	if len(text) < 1<<8 {
+		b = append(b, formatStr8, byte(len(text)))
+	} else {
+		b = binary.BigEndian.AppendUint16(append(b, formatStr16), uint16(len(text)))
+	}
 	return append(b, text...)
 }
 
