Bound what clients leave unread while it is written, and fields of a request

What callers saw: 240 clients that asked for health at full speed and read nothing took a server of 32 MB to 27.0 MB and its whole core; others' requests took 470 ms in the median and 816 ms at most.

Cause: the answers of one turn were gathered whole, 8 KiB a connection at least and 200 KB after one read of 64 KiB, and the bound on what all clients leave unread was looked at twice a second, for one connection each time.

Change: output beyond 1/32 of the memory is written before the turn ends, and each flush closes the largest backlogs until their sum is within its eighth. The network library's first buffer for a backlog has 8 KiB in place of 64. A request of more than 128 fields is invalid: 11 are known, and 1,500 short ones took as long as some hundred requests.

Result: TestOutput_BoundedWithinATurn (40 buffers waited, at most 4 may) and TestOutput_LargestBacklogsClosedAtOnce (327,708 bytes unread, at most 131,072) failed before.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -11,11 +11,17 @@
 )
 
 const (
+	// unflushedMemoryDivisor is the divisor of the memory limit that bounds the output which waits for the
+	// end of the turn. Beyond it the output is written at once.
+	unflushedMemoryDivisor = 32
+	// libraryWriteBufferBytes is the size of the first buffer in which the network library keeps a
+	// connection's backlog. Beyond it the backlog is kept in pieces of the size that they have.
+	libraryWriteBufferBytes = 8 << 10
 	// readBufferBytes is how much is read from a connection at a time: the longest message. Then the other
 	// connections have their turn.
 	readBufferBytes = rpc.MaxFrame
 	// maxClientBacklogBytes bounds the bytes that a client may leave unread: 32 results of 4 KiB with
-	// their framing. See closeLargestBacklog for the bound on all clients together.
+	// their framing. See closeLargestBacklogs for the bound on all clients together.
 	maxClientBacklogBytes = 136 << 10
 	// maxDialedBacklogBytes is the bound for connections that the server dialed. It holds the commands
 	// for some hundred requests, which may gather while the other side pauses: closing the
@@ -33,15 +39,15 @@
 	handleData(data []byte) (int, error)
 	// handleClose is called when the connection has closed; err is nil after an orderly close.
 	handleClose(err error)
+	// minInput returns how many bytes of input have to be buffered before handleData can handle a
+	// message, as far as that is known.
+	minInput() int
 	// owns reports whether conn is the handler's present connection. It is false for a connection
 	// that the handler has released.
 	owns(conn gnet.Conn) bool
 }
 
 // bufferedConn is a connection and its pending output.
-	// minInput returns how many bytes of input have to be buffered before handleData can handle a
-	// message, as far as that is known.
-	minInput() int
 type bufferedConn struct {
 	conn      gnet.Conn // nil once it is closed or released
 	out       bufferpool.WriteBuffer
@@ -50,15 +56,15 @@
 	lagging   bool // the connection is in output.lagging
 }
 
+// minInput implements connHandler: nothing is known about the next message.
+func (c *bufferedConn) minInput() int { return 0 }
+
 func (c *bufferedConn) owns(conn gnet.Conn) bool { return c.conn == conn }
 
 // release detaches the connection, and drops the pending output so that it is not sent on the next
 // connection of the same handler.
 func (c *bufferedConn) release(pool *bufferpool.Pool) {
 	c.conn = nil
-// minInput implements connHandler: nothing is known about the next message.
-func (c *bufferedConn) minInput() int { return 0 }
-
 	c.out.Release(pool)
 }
 
@@ -81,6 +87,20 @@
 	scratch   []byte          // for the message that is being encoded
 	unflushed []*bufferedConn // connections to flush at the end of the turn
 	lagging   []*bufferedConn // clients' connections that may have a backlog
+
+	maxUnflushedBuffers int // buffers of output that may wait for the end of the turn; 0 for no limit
+}
+
+func newOutput(memoryBytes int64) output {
+	return output{maxUnflushedBuffers: int(memoryBytes / unflushedMemoryDivisor / bufferpool.Size)}
+}
+
+// flushIfLarge writes the pending output of all connections if too much of it waits for the end of the
+// turn. No handler of a connection may be running, as a write that fails closes its connection.
+func (s *Server) flushIfLarge() {
+	if limit := s.output.maxUnflushedBuffers; limit > 0 && s.output.buffers.InUse > limit {
+		s.flush()
+	}
 }
 
 // write appends data to a connection's output, which is flushed at the end of the turn.
@@ -110,6 +130,7 @@
 	if s.output.unflushed == nil {
 		s.output.unflushed = unflushed[:0]
 	}
+	s.closeLargestBacklogs()
 }
 
 // flushConn writes the pending output of one connection, and closes it if its peer leaves too much
--- a/internal/server/conn_test.go
+++ b/internal/server/conn_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/panjf2000/gnet/v2"
@@ -41,3 +43,43 @@
 		}
 	}
 }
+
+// Guards against a client that asks for much and reads nothing: what is written for it within one turn
+// must be bounded too.
+func TestOutput_BoundedWithinATurn(t *testing.T) {
+	s := newServerWithMemory(1 << 20)
+	most := 0
+	for range 40 {
+		_, socket, _ := addClientWithPeer(t, s)
+		socket.bytes = strings.Repeat(healthCheck(1), 400)
+		s.OnTraffic(socket)
+		most = max(most, s.output.buffers.InUse)
+	}
+	if limit := s.output.maxUnflushedBuffers; most > limit {
+		t.Errorf("%d buffers waited for the end of the turn, want at most %d", most, limit)
+	}
+}
+
+// Guards against clients that leave answers unread, each of them within its own bound: their sum must
+// stay within the bound at every moment, not only twice a second.
+func TestOutput_LargestBacklogsClosedAtOnce(t *testing.T) {
+	s := newServerWithMemory(1 << 20)
+	var sockets []*fakeSocket
+	for i := range 8 {
+		client, socket, _ := addClientWithPeer(t, s)
+		socket.outboundBytes = 40<<10 + i
+		sockets = append(sockets, socket)
+		s.write(&client.bufferedConn, bytes.Repeat([]byte("x"), 100))
+	}
+	s.flush()
+	total := 0
+	for _, socket := range sockets {
+		if !socket.closed {
+			total += socket.outboundBytes
+		}
+	}
+	if limit := int(s.startup.MemoryBytes / unreadMemoryDivisor); total > limit || total == 0 || !sockets[7].closed {
+		t.Errorf("%d bytes left unread, the largest closed %t; want some, at most %d, and true",
+			total, sockets[7].closed, limit)
+	}
+}
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -166,6 +166,7 @@
 		return gnet.None
 	}
 	n, err := handler.handleData(data)
+	defer s.flushIfLarge()
 	if n > 0 {
 		_, _ = conn.Discard(n) // can't fail: n is at most len(data)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -116,6 +116,7 @@
 		requests: requesttable.New(),
 		clients:  clientTable{memory: bytebudget.New(int(startup.MemoryBytes / clientMemoryDivisor))},
 		results:  resultcache.New(int(startup.MemoryBytes / resultCacheMemoryDivisor)),
+		output:   newOutput(startup.MemoryBytes),
 		drain:    newDrainState(),
 	}
 	server.lifetime.begin()
@@ -152,7 +153,7 @@
 	acceptor.attach(s)
 	s.acceptor = acceptor
 	engine, err := gnet.NewClient(s, gnet.WithNumEventLoop(1), gnet.WithTicker(true),
-		gnet.WithReadBufferCap(readBufferBytes),
+		gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(libraryWriteBufferBytes),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(gnetLogger{}), gnet.WithLogLevel(logging.WarnLevel))
 	if err != nil {
 		return err
--- a/internal/server/sweep.go
+++ b/internal/server/sweep.go
@@ -14,17 +14,32 @@
 // and bounds the output that clients leave unread.
 func (s *Server) sweep() {
 	now := s.now()
-	s.closeLargestBacklog()
+	s.closeLargestBacklogs()
 	s.closeIdleUpstream(now)
 	s.results.Expire(now - s.maxReadDelay())
 }
 
-// closeLargestBacklog closes the connection with the largest backlog if the total of all backlogs
-// exceeds the limit.
-func (s *Server) closeLargestBacklog() {
-	total := 0
+// closeLargestBacklogs closes the connections with the largest backlogs until the total of all
+// backlogs is within the limit. Without a memory limit there is none.
+func (s *Server) closeLargestBacklogs() {
+	limit := int(s.startup.MemoryBytes / unreadMemoryDivisor)
+	for limit > 0 && len(s.output.lagging) > 0 {
+		total, largest := s.measureBacklogs()
+		if total <= limit || largest == nil {
+			return
+		}
+		client, isClient := largest.conn.Context().(*clientConn)
+		if !isClient {
+			return
+		}
+		client.closeNow()
+	}
+}
+
+// measureBacklogs returns the total of all backlogs and the connection with the largest one. It drops
+// connections without a backlog from the list of lagging ones.
+func (s *Server) measureBacklogs() (total int, largestConn *bufferedConn) {
 	largest := 0
-	var largestConn *bufferedConn
 	s.output.lagging = slices.DeleteFunc(s.output.lagging, func(c *bufferedConn) bool {
 		backlog := c.conn.OutboundBuffered()
 		total += backlog
@@ -35,10 +50,5 @@
 		c.lagging = backlog > 0
 		return backlog == 0
 	})
-	if largestConn == nil || total <= int(s.startup.MemoryBytes/unreadMemoryDivisor) {
-		return
-	}
-	if client, ok := largestConn.conn.Context().(*clientConn); ok {
-		client.closeNow()
-	}
+	return total, largestConn
 }
--- a/internal/wire/rpc/errors.go
+++ b/internal/wire/rpc/errors.go
@@ -24,10 +24,11 @@
 
 // Causes of an invalid request, in addition to FieldError.
 var (
-	errParameters   = errors.New("parameters are not an array of fields and body")
-	errMissingField = errors.New("a required field is missing")
-	errBodyType     = errors.New("body is neither binary nor a string")
-	errBodyTooLong  = fmt.Errorf("body of more than %d bytes", maxBody)
+	errParameters    = errors.New("parameters are not an array of fields and body")
+	errMissingField  = errors.New("a required field is missing")
+	errTooManyFields = fmt.Errorf("more than %d fields", maxFields)
+	errBodyType      = errors.New("body is neither binary nor a string")
+	errBodyTooLong   = fmt.Errorf("body of more than %d bytes", maxBody)
 )
 
 // Causes of a FieldError.
--- a/internal/wire/rpc/request.go
+++ b/internal/wire/rpc/request.go
@@ -9,8 +9,12 @@
 // future fields.
 const MaxFrame = 16 << 10
 
-// maxBody is the largest size of a request body in bytes.
-const maxBody = 2 << 10
+const (
+	// maxBody is the largest size of a request body in bytes.
+	maxBody = 2 << 10
+	// maxFields is the largest number of fields of a request: ten times those that are known.
+	maxFields = 128
+)
 
 // Kind is the kind of a message from a client.
 type Kind uint8
@@ -57,11 +61,11 @@
 	Memory          float64 // memory that the request needs, in KiB
 	Priority        float64 // at least 0 and less than 1
 	Body            []byte
+	MissingBytes    int   // of an incomplete message: at least this many more bytes belong to it
 	ValidationError error // why the request is invalid, nil if it is valid; an invalid request needs a response too
 }
 
 // ParseMessage parses the message at the start of b and returns its length, or 0 if b holds only a
-	MissingBytes    int   // of an incomplete message: at least this many more bytes belong to it
 // part of it; the message then tells only its MissingBytes. An error matches wire.ErrMalformed and means that the rest of b can't be parsed
 // either.
 func ParseMessage(b []byte) (message Message, length int, err error) {
@@ -150,6 +154,9 @@
 	if input.err != nil || list.kind != kindArray || list.length < parametersLength || fields.kind != kindMap {
 		return errParameters
 	}
+	if fields.length > maxFields {
+		return fmt.Errorf("%w: %d", errTooManyFields, fields.length)
+	}
 	m.NoTimeout = true
 	var present fieldSet
 	for range fields.length {
--- a/internal/wire/rpc/request_test.go
+++ b/internal/wire/rpc/request_test.go
@@ -242,3 +242,23 @@
 	}
 	return b
 }
+
+// Guards against messages of very many short fields, which cost a server much time for few bytes.
+func TestParseMessage_TooManyFields(t *testing.T) {
+	for count, want := range map[int]error{maxFields: nil, maxFields + 1: errTooManyFields} {
+		b := []byte{0x94, typeRequest, 7, 0xa1, 'c', 0x92, formatMap16, byte(count >> 8), byte(count)}
+		for _, field := range []string{fieldID, fieldArrivedAt, fieldMemory} {
+			b = append(append(b, byte(formatFixStr+len(field))), field...)
+			b = append(b, 0xa1, '1')
+		}
+		for range count - 3 {
+			b = append(b, 0xa1, 'f', 0xa1, 'v')
+		}
+		b = append(b, formatBin8, 0)
+		message, n, err := ParseMessage(b)
+		if n != len(b) || err != nil || !errors.Is(message.ValidationError, want) || message.Number != 7 {
+			t.Errorf("%d fields: message %d, length %d of %d, error %v, %v; want 7, all, none, %v",
+				count, message.Number, n, len(b), err, message.ValidationError, want)
+		}
+	}
+}
