Bound the bytes of what is kept of requests for their repeats

What callers saw: one client that asked about ever new subjects of 8,000 bytes, where results may be shared for 60 s, grew a server of 32 MB to 209 MB in 8 s (a probe on real processes; nothing killed it).

Cause: the cache of results bounded the bytes of results alone. Each request also left an entry with its subject, whose length nothing bounds, for the time of sharing and of the longest timeout. The controller's own count of keys goes by what the settings say that a key takes in the executor.

Change: the entries have a bound of their own, an eighth of the memory limit. A read beyond half of it is not kept, and the controller is told that it can't be shared, so its list of keys is bounded too. A request whose class must not run twice is rejected where its key finds no room, since a repeat could not be recognised.

--- a/internal/bench/badclients/fixture_test.go
+++ b/internal/bench/badclients/fixture_test.go
@@ -110,12 +110,12 @@
 
 var latestID atomic.Int64
 
-// newRequest returns a request with a new ID.
-func newRequest(class string) *rpc.Message {
+// newRequest returns a request of readClass with a new ID.
+func newRequest() *rpc.Message {
 	return &rpc.Message{
 		Number:    uint64(latestID.Add(1)),
 		ID:        fmt.Sprintf("%016x", latestID.Load()),
-		Class:     class,
+		Class:     readClass,
 		Tenant:    tenant,
 		Client:    1,
 		ArrivedAt: float64(time.Now().UnixMilli()) / 1000,
@@ -138,30 +138,59 @@
 	return conn
 }
 
-// goodClient sends requests one after the other, until stopped, and keeps the longest time that an
-// answer took.
+// askingClient sends one request at a time and waits for its answer.
+type askingClient struct {
+	conn    *balancer.Conn
+	answers chan rpc.Response
+	outcome map[string]int // answers by kind, and requests without an answer in answerTimeout
+	longest time.Duration  // that an answer took
+}
+
+// lateOutcome counts the requests without an answer in answerTimeout.
+const lateOutcome = "late"
+
+func newAskingClient(t *testing.T, address string) *askingClient {
+	t.Helper()
+	c := &askingClient{answers: make(chan rpc.Response, 1), outcome: map[string]int{}}
+	var err error
+	c.conn, err = balancer.Dial(context.Background(), address, func(r rpc.Response) { c.answers <- r }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.conn.Close() })
+	return c
+}
+
+// exchange sends a request, waits for its answer, and reports whether it has a result.
+func (c *askingClient) exchange(request *rpc.Message) bool {
+	request.Number = c.conn.NextNumber()
+	start := time.Now()
+	_ = c.conn.SendRequest(request) // if it fails, no answer arrives
+	select {
+	case answer := <-c.answers:
+		c.outcome[answer.Kind.String()]++
+		c.longest = max(c.longest, time.Since(start))
+		return answer.Kind == rpc.ResponseFinished
+	case <-time.After(answerTimeout):
+		c.outcome[lateOutcome]++
+		return false
+	}
+}
+
+// goodClient asks in the background until it is stopped.
 type goodClient struct {
+	*askingClient
 	stop    chan struct{}
 	stopped sync.WaitGroup
-	served  int
-	other   map[rpc.ResponseKind]int // answers other than a result, by kind
-	late    int                      // requests without an answer in answerTimeout
-	longest time.Duration
 }
 
 // startGoodClient starts a client that sends a request every interval at most.
 func startGoodClient(t *testing.T, address string, interval time.Duration) *goodClient {
 	t.Helper()
-	c := &goodClient{stop: make(chan struct{}), other: map[rpc.ResponseKind]int{}}
-	answers := make(chan rpc.Response, 1)
-	conn, err := balancer.Dial(context.Background(), address, func(r rpc.Response) { answers <- r }, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
+	c := &goodClient{askingClient: newAskingClient(t, address), stop: make(chan struct{})}
 	c.stopped.Go(func() {
 		for {
-			c.exchange(conn, answers)
+			c.exchange(newRequest())
 			select {
 			case <-c.stop:
 				return
@@ -172,29 +201,14 @@
 	return c
 }
 
-// exchange sends a request and waits for its answer.
-func (c *goodClient) exchange(conn *balancer.Conn, answers <-chan rpc.Response) {
-	request := newRequest(readClass)
-	request.Number = conn.NextNumber()
-	start := time.Now()
-	_ = conn.SendRequest(request) // if it fails, no answer arrives
-	select {
-	case answer := <-answers:
-		if answer.Kind == rpc.ResponseFinished {
-			c.served++
-		} else {
-			c.other[answer.Kind]++
-		}
-		c.longest = max(c.longest, time.Since(start))
-	case <-time.After(answerTimeout):
-		c.late++
-	}
-}
-
-// finish stops the client and logs what it saw.
+// finish stops the client, and fails the test unless some of its requests were served and none was left
+// without an answer.
 func (c *goodClient) finish(t *testing.T) {
 	t.Helper()
 	close(c.stop)
 	c.stopped.Wait()
-	t.Logf("good client: %d served, %v others, %d late, longest %v", c.served, c.other, c.late, c.longest)
+	t.Logf("good client: %v, longest %v", c.outcome, c.longest)
+	if c.outcome[rpc.ResponseFinished.String()] == 0 || c.outcome[lateOutcome] > 0 {
+		t.Errorf("good client: %v, want some finished, none late", c.outcome)
+	}
 }
--- a/internal/bench/badclients/memory_test.go
+++ b/internal/bench/badclients/memory_test.go
@@ -42,7 +42,7 @@
 			for range 2 {
 				sendFromAll(t, server.Addr, func() (b []byte) {
 					for range 200 {
-						request := newRequest(readClass)
+						request := newRequest()
 						grow(request)
 						b = rpc.AppendRequest(b, request)
 					}
@@ -51,9 +51,32 @@
 			}
 			client.finish(t)
 			expectMemoryWithinLimit(t, server)
-			if client.late > 0 || client.served == 0 {
-				t.Errorf("good client: %d served, %d late; want some served, none late", client.served, client.late)
+		})
+	}
+}
+
+// Guards against a server whose memory grows with every new subject that is asked about, as the subjects
+// of answered requests are kept for their repeats.
+func TestMemory_EverNewSubjects(t *testing.T) {
+	config := processConfig()
+	config.Settings.Deployment.ResultCacheMs = 60_000
+	config.Settings.Deployment.MemoryPerKeyKb = 0.1
+	config.Executor.CPUSeconds = func(string, string) float64 { return 0 }
+	server := startServer(t, config)
+	var clients sync.WaitGroup
+	for range 8 {
+		client := newAskingClient(t, server.Addr)
+		clients.Go(func() {
+			for range 1000 {
+				request := newRequest()
+				request.Subject = strings.Repeat(request.ID, 500)
+				client.exchange(request)
 			}
 		})
 	}
+	clients.Wait()
+	expectMemoryWithinLimit(t, server)
+	if client := newAskingClient(t, server.Addr); !client.exchange(newRequest()) {
+		t.Error("a request afterwards was not served")
+	}
 }
--- a/internal/resultcache/cache.go
+++ b/internal/resultcache/cache.go
@@ -11,6 +11,7 @@
 
 import (
 	"hash/maphash"
+	"math"
 	"slices"
 
 	"swiftcourse/internal/requesttable"
@@ -27,29 +28,56 @@
 	byID        map[string]*entry
 	withResults []*entry // entries with a result, the oldest result first
 	bytes       int      // total size of the results, see sizeOf
-	maxBytes    int      // limit on bytes
+	entryBytes  int      // total size of the entries without their results
+	limits      Limits
 	seed        maphash.Seed
 }
 
-// New returns an empty cache that holds at most maxBytes of results. To stay within the limit it
-// evicts the oldest results. The state of a request whose result is evicted is Missing or, if it
-// may run only once, Unrepeatable.
-func New(maxBytes int) *Cache {
+// Limits bound the memory of a cache. A limit of 0 bytes or less on entries means no limit.
+type Limits struct {
+	// ResultBytes bounds the results. To stay within it the cache evicts the oldest results. The state of
+	// a request whose result is evicted is Missing or, if it may run only once, Unrepeatable.
+	ResultBytes int
+	// EntryBytes bounds the entries without their results. Those of requests that may run more than once
+	// are not added beyond half of it. See HasRoom for the others.
+	EntryBytes int
+}
+
+// New returns an empty cache.
+func New(limits Limits) *Cache {
+	if limits.EntryBytes <= 0 {
+		limits.EntryBytes = math.MaxInt
+	}
 	return &Cache{
-		byKey:    map[key]*entry{},
-		byID:     map[string]*entry{},
-		maxBytes: maxBytes,
-		seed:     maphash.MakeSeed(),
+		byKey:  map[key]*entry{},
+		byID:   map[string]*entry{},
+		limits: limits,
+		seed:   maphash.MakeSeed(),
 	}
 }
 
+// HasRoom reports whether there is room for the entry of one more request. Without it the caller must not
+// accept a request that may run only once, as a repeat of the request could not be recognised; entries of
+// those accepted before are always added.
+func (c *Cache) HasRoom(subject string, runsOnce bool) bool {
+	limit := c.limits.EntryBytes
+	if !runsOnce {
+		limit /= 2
+	}
+	return c.entryBytes+entrySize(subject) <= limit
+}
+
+// EntryBytes returns the total size of the entries without their results.
+func (c *Cache) EntryBytes() int { return c.entryBytes }
+
 // Len returns the number of entries.
 func (c *Cache) Len() int { return len(c.byID) }
 
 // Track adds a request as the original of the repeats that arrive until expiresAt. It replaces an
 // earlier request with the same class and subject. If the request is already in the cache, only its
 // expiry changes. With runsOnce the entry stays until it expires, unless the request ends without
-// having run. A request without a subject is ignored.
+// having run. A request without a subject is ignored, and so is one that may run more than once if there
+// is no room.
 func (c *Cache) Track(request *requesttable.Request, expiresAt float64, runsOnce bool) {
 	if request.Subject == "" {
 		return
@@ -58,6 +86,9 @@
 		e.expiresAt = expiresAt
 		return
 	}
+	if !runsOnce && !c.HasRoom(request.Subject, runsOnce) {
+		return
+	}
 	c.add(&entry{
 		key:       keyOf(request),
 		id:        request.ID,
@@ -94,11 +125,17 @@
 		delete(c.byKey, e.key)
 	}
 	if len(e.waiting) == 0 {
-		delete(c.byID, id)
-		c.dropResult(e)
+		c.drop(e)
 	}
 }
 
+// drop removes an entry that nobody waits for and that no key leads to.
+func (c *Cache) drop(e *entry) {
+	delete(c.byID, e.id)
+	c.dropResult(e)
+	c.entryBytes -= entrySize(e.key.subject)
+}
+
 // Original returns the ID of the request that a request with this class, subject and arrival time
 // repeats, or "" if it repeats none.
 func (c *Cache) Original(class int, subject string, arrivedAt, now float64) (id string) {
@@ -164,8 +201,7 @@
 		return waiting
 	}
 	if c.byKey[finished.key] != finished { // removed or replaced while others waited
-		delete(c.byID, id)
-		c.dropResult(finished)
+		c.drop(finished)
 	}
 	return waiting
 }
@@ -187,16 +223,17 @@
 	}
 	c.byKey[e.key] = e
 	c.byID[e.id] = e
+	c.entryBytes += entrySize(e.key.subject)
 }
 
 // storeResult stores a copy of an entry's result, then drops the oldest results until the total
-// size is within maxBytes.
+// size is within its limit.
 func (c *Cache) storeResult(e *entry, result []byte) {
 	e.state = Available
 	e.result = append(make([]byte, 0, len(result)), result...)
 	c.bytes += sizeOf(e.result)
 	c.withResults = append(c.withResults, e)
-	for c.bytes > c.maxBytes {
+	for c.bytes > c.limits.ResultBytes {
 		c.dropResult(c.withResults[0])
 	}
 }
@@ -214,7 +251,14 @@
 	e.state = e.stateWithoutResult()
 }
 
-// sizeOf returns the size that counts towards maxBytes: one byte more than the result's length, so
+// entryOverheadBytes is the size of an entry without its subject and its result: the entry, its ID, and
+// its places in both maps.
+const entryOverheadBytes = 512
+
+// entrySize returns the size of an entry that counts towards Limits.EntryBytes.
+func entrySize(subject string) int { return entryOverheadBytes + len(subject) }
+
+// sizeOf returns the size that counts towards Limits.ResultBytes: one byte more than the result's length, so
 // that the number of empty results is bounded too.
 func sizeOf(result []byte) int { return len(result) + 1 }
 
--- a/internal/resultcache/cache_test.go
+++ b/internal/resultcache/cache_test.go
@@ -1,13 +1,17 @@
 package resultcache
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"swiftcourse/internal/requesttable"
 )
 
 func TestCache_ServesRepeatsUntilExpiry(t *testing.T) {
-	c := New(1 << 10)
+	c := New(Limits{ResultBytes: 1 << 10})
 	a := &requesttable.Request{ID: "a", Subject: "row"}
 	b := &requesttable.Request{ID: "b", Subject: "row"}
 	c.Track(&requesttable.Request{ID: "plain"}, 10, false)
@@ -56,7 +60,7 @@
 }
 
 func TestCache_KeepsRunOnceRequestsForWindow(t *testing.T) {
-	c := New(10)
+	c := New(Limits{ResultBytes: 10})
 	a := &requesttable.Request{ID: "a", Subject: "k"}
 	b := &requesttable.Request{ID: "b", Subject: "k"}
 	other := &requesttable.Request{ID: "c", Subject: "l"}
@@ -94,3 +98,56 @@
 			c.Len(), c.bytes, len(c.withResults))
 	}
 }
+
+// Guards against clients that ask for ever new subjects: what is kept of their requests must be bounded in
+// bytes, whatever the length of the subjects, and entries that are gone must not count.
+func TestCache_BoundsEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 20 * entryOverheadBytes
+		c := New(Limits{ResultBytes: 100, EntryBytes: limit})
+		now := 0.0
+		for i := range rapid.IntRange(1, 300).Draw(t, "requests") {
+			subject := strings.Repeat("s", rapid.IntRange(1, 4*entryOverheadBytes).Draw(t, "length")) +
+				strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "number"))
+			request := &requesttable.Request{ID: strconv.Itoa(i), Subject: subject}
+			runsOnce := rapid.Bool().Draw(t, "runs once")
+			if !runsOnce || c.HasRoom(subject, true) {
+				c.Track(request, now+rapid.Float64Range(0, 10).Draw(t, "lifetime"), runsOnce)
+			}
+			if runsOnce && c.entryBytes <= limit-entrySize(subject) != c.HasRoom(subject, true) {
+				t.Fatalf("%d bytes of entries: room %t", c.entryBytes, c.HasRoom(subject, true))
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "end") {
+			case 0:
+				c.Finish(request.ID, Outcome{Ran: true, Success: true, Result: []byte("r"), FreshUntil: now + 1})
+			case 1:
+				c.Finish(request.ID, Outcome{})
+			case 2:
+				c.Remove(request.ID)
+			}
+			now += rapid.Float64Range(0, 1).Draw(t, "pause")
+			c.Expire(now)
+			total := 0
+			for _, e := range c.byID {
+				total += entrySize(e.key.subject)
+			}
+			if c.EntryBytes() != total || total > limit {
+				t.Fatalf("%d bytes of entries, want %d and at most %d", c.EntryBytes(), total, limit)
+			}
+		}
+		if c.Expire(now + 20); c.EntryBytes() != 0 || c.Len() != 0 {
+			t.Fatalf("%d bytes of %d entries after the last expiry, want 0 of 0", c.EntryBytes(), c.Len())
+		}
+	})
+}
+
+// A request that may run more than once leaves half of the room to those that may not.
+func TestCache_LeavesRoomForRunOnceRequests(t *testing.T) {
+	c := New(Limits{EntryBytes: 10 * (entryOverheadBytes + 1)})
+	for i := range 10 {
+		c.Track(&requesttable.Request{ID: strconv.Itoa(i), Subject: strconv.Itoa(i)}, 10, false)
+	}
+	if c.Len() != 5 || !c.HasRoom("k", true) {
+		t.Errorf("%d entries, room for one more that runs once %t; want 5, true", c.Len(), c.HasRoom("k", true))
+	}
+}
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -49,7 +49,8 @@
 	muted := 0
 	for i := range clients {
 		client, socket, _ := addClientWithPeer(t, s)
-		socket.bytes = requestFrame(1, "a", strings.Repeat("b", 2000), withSubject(strings.Repeat("s", 12_000)))[:14_000]
+		frame := requestFrame(1, "a", strings.Repeat("b", 2000), withSubject(strings.Repeat("s", 12_000)))
+		socket.bytes = frame[:14_000]
 		s.OnTraffic(socket)
 		if used := s.clients.memory.Used(); used > limit {
 			t.Fatalf("after %d clients %d bytes held, want at most %d", i+1, used, limit)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	heldBytes := server.requestMemory(message)
-	if !c.reserveMemory(heldBytes) {
+	if !server.hasRoomForRepeats(kind.class, message) || !c.reserveMemory(heldBytes) {
 		c.rejectForMemory(message.Number, kind, now)
 		return nil
 	}
@@ -157,7 +157,7 @@
 			Client:       message.Client,
 			Memory:       message.Memory,
 			Priority:     message.Priority,
-			HasSubject:   message.Subject != "",
+			HasSubject:   message.Subject != "" && s.results.HasRoom(message.Subject, s.runsAtMostOnce(request.Class)),
 			Retry:        message.Retry,
 			ExpectedWork: message.ExpectedWork,
 			DuplicateOf:  original,
@@ -181,6 +181,16 @@
 	return class < len(classes) && classes[class].Idempotency == admission.Deduplicated
 }
 
+// hasRoomForRepeats reports whether the repeats of a request will be recognised, if its class requires
+// that.
+func (s *Server) hasRoomForRepeats(class int, message *rpc.Message) bool {
+	if !s.runsAtMostOnce(class) || s.results.HasRoom(s.subjectOf(class, message), true) {
+		return true
+	}
+	s.statistics.memoryRefusals++
+	return false
+}
+
 // maxReadDelay returns how long, in seconds, after its deduplication window a request is still
 // remembered. A repeat that arrived within the window may be read after it, for example after a
 // pause, but not later than its own timeout, when its client no longer waits.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -104,9 +104,14 @@
 	forwarding *forwardingState // nil unless the server is a forwarder
 }
 
-// resultCacheMemoryDivisor is the divisor of the memory limit that bounds cached results: an eighth,
-// the same as for output that clients leave unread.
-const resultCacheMemoryDivisor = 8
+const (
+	// resultCacheMemoryDivisor is the divisor of the memory limit that bounds cached results: an eighth,
+	// the same as for output that clients leave unread.
+	resultCacheMemoryDivisor = 8
+	// resultCacheEntryMemoryDivisor is the divisor of the memory limit that bounds what is kept of
+	// requests to recognise their repeats.
+	resultCacheEntryMemoryDivisor = 8
+)
 
 // New creates a server; Run starts it. The operator's settings are nil without an operator's file.
 func New(startup *config.Startup, operator *config.OperatorSettings) *Server {
@@ -115,9 +120,12 @@
 		clock:    newClock(),
 		requests: requesttable.New(),
 		clients:  clientTable{memory: bytebudget.New(int(startup.MemoryBytes / clientMemoryDivisor))},
-		results:  resultcache.New(int(startup.MemoryBytes / resultCacheMemoryDivisor)),
-		output:   newOutput(startup.MemoryBytes),
-		drain:    newDrainState(),
+		results: resultcache.New(resultcache.Limits{
+			ResultBytes: int(startup.MemoryBytes / resultCacheMemoryDivisor),
+			EntryBytes:  int(startup.MemoryBytes / resultCacheEntryMemoryDivisor),
+		}),
+		output: newOutput(startup.MemoryBytes),
+		drain:  newDrainState(),
 	}
 	server.lifetime.begin()
 	server.loop = newEventLoop(server)
--- a/internal/wire/rpc/client_test.go
+++ b/internal/wire/rpc/client_test.go
@@ -16,6 +16,7 @@
 func TestMain(m *testing.M) { random.RunSeeded(m, 500) }
 
 func TestParseMessage_ParsesMessagesOfClient(t *testing.T) {
+	subjects := []string{"", "7f3a", strings.Repeat("s", 255), strings.Repeat("s", 8000)}
 	rapid.Check(t, func(t *rapid.T) {
 		m := Message{
 			Kind:         KindRequest,
@@ -23,7 +24,7 @@
 			ID:           rapid.StringMatching("[0-9a-f]{16}").Draw(t, "id"),
 			Class:        rapid.StringMatching("[a-z-]{1,60}").Draw(t, "class"),
 			Tenant:       rapid.SampledFrom([]string{"", "acme"}).Draw(t, "tenant"),
-			Subject:      rapid.SampledFrom([]string{"", "7f3a", strings.Repeat("s", 255), strings.Repeat("s", 8000)}).Draw(t, "subject"),
+			Subject:      rapid.SampledFrom(subjects).Draw(t, "subject"),
 			ArrivedAt:    float64(rapid.Int64Range(0, 1<<41).Draw(t, "arrived at")) / 1000,
 			Timeout:      float64(rapid.IntRange(-1000, 1e6).Draw(t, "timeout")) / 1000,
 			Client:       rapid.IntRange(0, 1e6).Draw(t, "client"),
--- a/internal/wire/rpc/request.go
+++ b/internal/wire/rpc/request.go
@@ -66,8 +66,8 @@
 }
 
 // ParseMessage parses the message at the start of b and returns its length, or 0 if b holds only a
-// part of it; the message then tells only its MissingBytes. An error matches wire.ErrMalformed and means that the rest of b can't be parsed
-// either.
+// part of it; the message then tells only its MissingBytes. An error matches wire.ErrMalformed and
+// means that the rest of b can't be parsed either.
 func ParseMessage(b []byte) (message Message, length int, err error) {
 	input := decoder{data: b}
 	message = parseMessage(&input)
