Start no run whose client has closed its connection

What callers saw: a client that wrote hundreds of requests and closed its connection at once had requests begun after the close: 112 in 96,000 sent (probe on real processes; the kind that must not run twice).

Cause: a close comes behind the unread input. After each 64 KiB of it a turn decided, and started runs, with the rest and the close still unread, some of it still at the sender's system. And a start that was to be sent while the link to the executor was down was sent on the next link although the client had left meanwhile.

Change: before a run starts the server asks the system whether the peer has closed (one poll); if so the connection is closed at once and the controller is told that the run never started. A start that was never sent and that nobody waits for ends as never started. The statistics tell gone_before_start.

TestClientGone_UnreadRequestsAreNotStarted (2 runs started) and TestClientGone_UnsentStartIsNotSent failed before.

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"swiftcourse/internal/bytebudget"
 	"swiftcourse/internal/policy/connlimit"
@@ -13,17 +14,8 @@
 	"swiftcourse/internal/wire/rpc"
 )
 
-const (
-	// maxRequestsPerConn is how many requests the protocol allows to be open on one connection.
-	maxRequestsPerConn = 32
-	// maxMessagesPerRead bounds the messages that one read of readBufferBytes brings, and so how long a
-	// connection keeps the others waiting. It is more than twice what fits if each request, which takes
-	// over 100 bytes, is cancelled.
-	maxMessagesPerRead = 512
-	// maxInvalidInARow is how many invalid requests in a row a connection may send: twice as many as
-	// may be open.
-	maxInvalidInARow = 2 * maxRequestsPerConn
-)
+// maxRequestsPerConn is how many requests the protocol allows to be open on one connection.
+const maxRequestsPerConn = 32
 
 // clientTable is the state of all clients' connections.
 type clientTable struct {
@@ -31,7 +23,8 @@
 	limiter                *connlimit.Limiter
 	configuredHoldingSlots int // size of the holding area in the operator's settings
 	requestLists           requesttable.ListPool
-	memory                 *bytebudget.Budget // of requests, and of input that is a part of a message
+	memory                 *bytebudget.Budget                 // of requests, and of input that is a part of a message
+	heldArrivals           map[slottable.Handle]*heldArrivals // by connection, see client_input.go
 	muted                  []mutedConn
 	lingering              []*lingeringConn // in order of their deadlines
 }
@@ -49,7 +42,7 @@
 	heldBytes    int // reserved in clientTable.memory
 	partialBytes int // the part of heldBytes for input that is a part of a message
 
-	awaitedBytes  int // length that the incomplete message at the start of the input has at least
+	input         clientInput
 	invalidInARow int // invalid requests since the last message of another kind
 }
 
@@ -100,6 +93,17 @@
 	}
 }
 
+// closedByPeer reports whether the client has closed its side of the connection, even if the server has
+// not read all input before that yet. It takes one system call.
+func (c *clientConn) closedByPeer() bool {
+	if c.conn == nil {
+		return false
+	}
+	poll := []unix.PollFd{{Fd: int32(c.conn.Fd()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 func (c *clientConn) handleClose(error) {
 	if c.state.advance(connEnded) {
 		c.leaveTable()
@@ -118,6 +122,7 @@
 	c.release(&s.output.buffers)
 	c.releaseMemory(c.partialBytes)
 	s.clients.limiter.HandleClosed(c.slot())
+	delete(s.clients.heldArrivals, c.id)
 	s.clients.conns.Remove(c.id) // from here on c may be reused for another connection
 	for _, request := range requests {
 		s.cancelByClient(request)
@@ -125,36 +130,6 @@
 	s.clients.requestLists.Put(requests)
 }
 
-func (c *clientConn) handleData(data []byte) (n int, err error) {
-	if c.state == connMuted {
-		return len(data), nil
-	}
-	now := c.server.now()
-	c.awaitedBytes = 0
-	for count := 0; n < len(data); count++ {
-		message, size, err := rpc.ParseMessage(data[n:])
-		switch {
-		case err != nil:
-			return n, err
-		case size == 0:
-			c.observe(connlimit.EventPartialMessage, now)
-			c.awaitedBytes = len(data) - n + message.MissingBytes
-			return n, c.holdPartialMessage(c.awaitedBytes)
-		case count == maxMessagesPerRead:
-			return n, errTooManyMessages
-		}
-		n += size
-		if err := c.handleMessage(&message, now); err != nil {
-			return n, err
-		}
-	}
-	return n, c.holdPartialMessage(0)
-}
-
-// minInput implements connHandler. A message that arrives in small parts is not parsed anew with each
-// of them.
-func (c *clientConn) minInput() int { return c.awaitedBytes }
-
 // handleMessage handles one complete message. An error means that the rest of the input can't be
 // handled.
 func (c *clientConn) handleMessage(message *rpc.Message, now float64) error {
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -39,9 +39,9 @@
 	handleData(data []byte) (int, error)
 	// handleClose is called when the connection has closed; err is nil after an orderly close.
 	handleClose(err error)
-	// minInput returns how many bytes of input have to be buffered before handleData can handle a
-	// message, as far as that is known.
-	minInput() int
+	// handleInput is called when input was read; buffered is the number of bytes that wait to be handled
+	// now. It returns whether handleData is to be called with them.
+	handleInput(buffered int) bool
 	// owns reports whether conn is the handler's present connection. It is false for a connection
 	// that the handler has released.
 	owns(conn gnet.Conn) bool
@@ -56,8 +56,8 @@
 	lagging   bool // the connection is in output.lagging
 }
 
-// minInput implements connHandler: nothing is known about the next message.
-func (c *bufferedConn) minInput() int { return 0 }
+// handleInput implements connHandler: nothing is known about the next message.
+func (c *bufferedConn) handleInput(int) bool { return true }
 
 func (c *bufferedConn) owns(conn gnet.Conn) bool { return c.conn == conn }
 
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -56,19 +56,16 @@
 	})
 }
 
-// executeOnRequest carries out an action that concerns a request. For a request that is no longer in
-// the table, only the deletion of its key has an effect.
+// executeOnRequest carries out an action that concerns a request.
 func (s *Server) executeOnRequest(action *admission.Action, now float64) {
 	request := s.requests.Get(action.RequestID)
 	if request == nil {
-		if action.Kind == admission.DeleteKey {
-			s.results.Remove(action.RequestID)
-		}
+		s.executeWithoutRequest(action)
 		return
 	}
 	switch action.Kind {
 	case admission.StartRun:
-		s.startRun(request)
+		s.startRunIfAwaited(request)
 	case admission.Reject:
 		s.rejectWith(request, action.Duration, action.NoFailover)
 	case admission.Fail:
@@ -86,6 +83,35 @@
 	}
 }
 
+// executeWithoutRequest carries out an action that concerns a request which is no longer in the table: an
+// earlier action of the batch has shown that its client is gone.
+func (s *Server) executeWithoutRequest(action *admission.Action) {
+	switch action.Kind {
+	case admission.DeleteKey:
+		s.results.Remove(action.RequestID)
+	case admission.StartRun:
+		s.queueNeverStarted(action.RequestID)
+	}
+}
+
+// startRunIfAwaited starts the run of a request, unless its client has closed the connection. The close
+// may be behind input that has not been read yet.
+func (s *Server) startRunIfAwaited(request *requesttable.Request) {
+	client := s.clients.conns.Get(request.Connection)
+	if client == nil || !client.closedByPeer() {
+		s.startRun(request)
+		return
+	}
+	s.statistics.goneBeforeStart++
+	client.closeNow() // cancels all its requests
+	s.queueNeverStarted(request.ID)
+}
+
+// queueNeverStarted reports to the controller that a run which it decided to start never was.
+func (s *Server) queueNeverStarted(id string) {
+	s.queueEvent(admission.Event{Kind: admission.RunEnded, RequestID: id, Outcome: admission.NeverStarted})
+}
+
 // answerFromCache answers a repeat with the result of its original request, now or when the original
 // ends.
 func (s *Server) answerFromCache(request *requesttable.Request, now float64) {
--- a/internal/server/executor_commands.go
+++ b/internal/server/executor_commands.go
@@ -81,6 +81,11 @@
 		if !request.Running {
 			continue
 		}
+		if l.startIsObsolete(request) {
+			l.server.releaseClaim(request)
+			l.server.finishRun(request, admission.NeverStarted, nil, 0)
+			continue
+		}
 		run := l.deliveryState(request)
 		command := redelivery.Decide(run)
 		l.sendAgain(request, command)
@@ -95,6 +100,12 @@
 		"commands_sent", sent, "commands_in_doubt", inDoubt)
 }
 
+// startIsObsolete reports whether the start of a request was never sent, and is not needed any more as
+// the request was answered or its client is gone.
+func (l *executorLink) startIsObsolete(request *requesttable.Request) bool {
+	return request.Answered && !request.CommandSent && latestCommand(request) == redelivery.Start
+}
+
 // deliveryState returns what is known about the delivery of a running request's latest command.
 func (l *executorLink) deliveryState(request *requesttable.Request) redelivery.Run {
 	class := &l.server.startup.Settings.Classes[request.Class]
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -60,7 +60,7 @@
 
 func (panickingConn) handleOpen(gnet.Conn, string) error { return nil }
 
-func (panickingConn) minInput() int { return 0 }
+func (panickingConn) handleInput(int) bool { return true }
 
 func (panickingConn) owns(gnet.Conn) bool { return true }
 
--- /dev/null
+++ b/internal/server/gone_test.go
@@ -0,0 +1,87 @@
+package server
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"swiftcourse/internal/config"
+)
+
+// blockLoop makes the loop wait until the returned function is called.
+func (f *fixture) blockLoop() (release func()) {
+	blocked, released := make(chan struct{}), make(chan struct{})
+	_ = f.server.loop.execute(func() {
+		close(blocked)
+		<-released
+	})
+	<-blocked
+	return func() { close(released) }
+}
+
+// Guards against requests that are started although their client closed its connection before, with much
+// of its input still unread. The places of their runs must come back.
+func TestClientGone_UnreadRequestsAreNotStarted(t *testing.T) {
+	const requests = 200
+	f := startServer(t, nil)
+	client := f.dialClient()
+	release := f.blockLoop()
+	var frames strings.Builder
+	for i := range requests {
+		frames.WriteString(requestFrame(byte(i%maxRequestsPerConn+1), fmt.Sprint("a", i), strings.Repeat("b", 2000)))
+	}
+	client.send("%s", frames.String())
+	_ = client.Close()
+	release()
+	waitUntil(f, 0, clientCount)
+	waitUntil(f, 0, func(s *Server) int { return s.requests.Len() })
+
+	other := f.dialClient()
+	places := f.server.startup.Settings.Cores // start at once, whatever the controller has learned
+	for i := range places {
+		other.send("%s", requestFrame(byte(i+1), fmt.Sprint("b", i), "x"))
+		f.executor.expectCommand("begin", fmt.Sprint("b", i)) // no begin of another request is before it
+	}
+}
+
+// The same where the link to the executor is down as the request is to start: the start was never sent, so
+// it must not be sent once the link is up.
+func TestClientGone_UnsentStartIsNotSent(t *testing.T) {
+	for _, change := range []func(*config.Startup){nil, requireIdempotencyKeys} {
+		f := startServer(t, change)
+		client, other := f.dialClient(), f.dialClient()
+		_ = f.executor.Close()
+		waitUntil(f, false, func(s *Server) bool { return s.executor.up })
+		client.send("%s", requestFrame(1, "a1", "x", withKey("k")))
+		waitUntil(f, true, func(s *Server) bool {
+			request := s.requests.Get("a1")
+			return request != nil && request.Running
+		})
+		_ = client.Close()
+		waitUntil(f, 1, clientCount)
+		f.executor = f.acceptResumedLink()
+		waitUntil(f, 0, func(s *Server) int { return s.requests.Len() })
+		other.send("%s", requestFrame(1, "b1", "x", withKey("k")))
+		f.executor.expectCommand("begin", "b1")
+	}
+}
+
+// Requests with one key and different bodies must be told apart also while their arrivals are held back,
+// or one would get the result of the other. Their answers must not be delayed for long.
+func TestHeldArrivals_ConflictingBodyInvalid(t *testing.T) {
+	f := startServer(t, requireIdempotencyKeys)
+	client := f.dialClient()
+	release := f.blockLoop()
+	frames := requestFrame(1, "a1", "x", withKey("k")) + requestFrame(2, "a2", "forged", withKey("k"))
+	for i := byte(3); len(frames) < 2*readBufferBytes; i++ {
+		frames += requestFrame(i, fmt.Sprint("a", i), strings.Repeat("b", 2000), withKey(fmt.Sprint("k", i)))
+	}
+	client.send("%s", frames)
+	release()
+	f.executor.expectCommand("begin", "a1")
+	f.executor.expectCommand("begin", "a3")
+	client.expect(answerPrefix(2) + invalidPayload)
+	if held := query(f, func(s *Server) int { return len(s.clients.heldArrivals) }); held != 0 {
+		t.Errorf("arrivals of %d connections held back after the first started, want 0", held)
+	}
+}
--- a/internal/server/graceful.go
+++ b/internal/server/graceful.go
@@ -35,7 +35,7 @@
 
 func (c *lingeringConn) handleOpen(gnet.Conn, string) error { return nil }
 
-func (c *lingeringConn) minInput() int { return 0 }
+func (c *lingeringConn) handleInput(int) bool { return true }
 
 func (c *lingeringConn) owns(conn gnet.Conn) bool { return c.conn == conn }
 
@@ -116,7 +116,8 @@
 	if !c.state.advance(connProtocolError) {
 		return
 	}
-	c.awaitedBytes = 0 // all input is discarded
+	c.input.awaitedBytes = 0 // all that is buffered is discarded
+	c.input.bufferedBytes = 0
 	c.server.clients.muted = append(c.server.clients.muted, mutedConn{id: c.id})
 	c.server.scheduleTurn()
 }
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -158,7 +158,7 @@
 	if !ok || !handler.owns(conn) {
 		return gnet.Close
 	}
-	if conn.InboundBuffered() < handler.minInput() {
+	if !handler.handleInput(conn.InboundBuffered()) {
 		return gnet.None
 	}
 	data, err := conn.Peek(-1)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -56,7 +56,11 @@
 	server.requests.Add(request)
 	server.countReceived(kind)
 	server.saveForForwarding(request, message)
-	server.queueArrival(request, message, now)
+	if c.mustHoldArrivals() {
+		c.holdArrival(request, message)
+	} else {
+		server.queueArrival(request, message, now)
+	}
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"swiftcourse/internal/policy/serving"
 	"swiftcourse/internal/requesttable"
 	"swiftcourse/internal/resultcache"
+	"swiftcourse/internal/slottable"
 	"swiftcourse/internal/wire/rpc"
 )
 
@@ -119,7 +120,10 @@
 		startup:  startup,
 		clock:    newClock(),
 		requests: requesttable.New(),
-		clients:  clientTable{memory: bytebudget.New(int(startup.MemoryBytes / clientMemoryDivisor))},
+		clients: clientTable{
+			memory:       bytebudget.New(int(startup.MemoryBytes / clientMemoryDivisor)),
+			heldArrivals: map[slottable.Handle]*heldArrivals{},
+		},
 		results: resultcache.New(resultcache.Limits{
 			ResultBytes: int(startup.MemoryBytes / resultCacheMemoryDivisor),
 			EntryBytes:  int(startup.MemoryBytes / resultCacheEntryMemoryDivisor),
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -35,6 +35,7 @@
 	finished             int
 	rejected             int
 	failed               int
+	goneBeforeStart      int // requests whose client was found to be gone when they were to start
 	clientGone           int
 	invalid              int
 	calls                int
@@ -104,6 +105,7 @@
 		"rejected", stats.rejected,
 		"failed", stats.failed,
 		"client_gone", stats.clientGone,
+		"gone_before_start", stats.goneBeforeStart,
 		"invalid", stats.invalid,
 		"malformed", stats.malformed,
 		"commands_rejected", stats.commandsRejected,
