A request that must not run twice is not started again under its id

What callers saw: of 604 ids of a class that must not run twice, each sent again 50 ms after its client had left, 498 were begun twice; behind a forwarder 478 of 608 (probes on real processes, runs of 20 ms).

Cause: an id was known as long as its request was open or running. When the client had left and the run had ended nothing was kept, as no answer was owed, and the same message was taken for a new request. A class with keys has the key for that; a class without has the id alone.

A message with such an id is invalid, unless it repeats a request by its key, which is answered without a run. A start that is known not to have run is forgotten. Where there is no room for one more id the request is rejected: none is forgotten early. A forwarder does the same where it sends requests on.

--- a/internal/server/errors.go
+++ b/internal/server/errors.go
@@ -33,6 +33,7 @@
 	errMissingTimeout  = errors.New("the timeout is missing, but this deployment propagates deadlines")
 	errTooManyRequests = fmt.Errorf("the connection already has %d open requests, the most allowed", maxRequestsPerConn)
 	errDuplicateID     = errors.New("another request with this ID is known")
+	errAlreadyStarted  = errors.New("the request with this ID was started before, and must not run twice")
 	errMissingKey      = errors.New("requests of this class need an idempotency key, and this one has none")
 	errConflictingBody = errors.New("another request with the same idempotency key has a different body")
 )
--- a/internal/server/executor_commands.go
+++ b/internal/server/executor_commands.go
@@ -27,6 +27,7 @@
 func (l *executorLink) start(request *requesttable.Request) {
 	if !request.Running && !request.Answered {
 		request.Running = true
+		l.server.rememberStart(request)
 		l.sendStart(request)
 	}
 }
--- a/internal/server/forwarding.go
+++ b/internal/server/forwarding.go
@@ -80,6 +80,7 @@
 		return
 	}
 	request.Running = true
+	s.rememberStart(request)
 	timeout := s.startup.Settings.Classes[request.Class].Timeout
 	if request.Timeout > 0 {
 		timeout = min(timeout, request.Timeout)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -36,7 +36,8 @@
 		return nil
 	}
 	heldBytes := server.requestMemory(message)
-	if !server.hasRoomForRepeats(kind.class, message) || !c.reserveMemory(heldBytes) {
+	if !server.hasRoomForRepeats(kind.class, message) || !server.hasRoomForStart(kind.class) ||
+		!c.reserveMemory(heldBytes) {
 		c.rejectForMemory(message.Number, kind, now)
 		return nil
 	}
@@ -85,6 +86,8 @@
 		return kind, clockSkewError(message.ArrivedAt - now)
 	case server.requests.Get(message.ID) != nil:
 		return kind, &invalidFieldError{"request ID", message.ID, errDuplicateID}
+	case server.wasStarted(class, message):
+		return kind, &invalidFieldError{"request ID", message.ID, errAlreadyStarted}
 	}
 	return kind, server.validateKey(class, message)
 }
--- a/internal/server/respond.go
+++ b/internal/server/respond.go
@@ -116,6 +116,9 @@
 // reportRunEnded reports the end of a run to the controller.
 func (s *Server) reportRunEnded(request *requesttable.Request, outcome admission.Outcome, seconds float64) {
 	request.Running = false
+	if outcome == admission.NeverStarted {
+		s.forgetStart(request)
+	}
 	s.queueEvent(admission.Event{
 		Kind:      admission.RunEnded,
 		RequestID: request.ID,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"swiftcourse/internal/bytebudget"
 	"swiftcourse/internal/config"
 	"swiftcourse/internal/policy/serving"
+	"swiftcourse/internal/recentids"
 	"swiftcourse/internal/requesttable"
 	"swiftcourse/internal/resultcache"
 	"swiftcourse/internal/slottable"
@@ -33,10 +34,11 @@
 	lifetime  lifetime
 	endpoints atomic.Pointer[endpoints] // also read by the goroutines that dial
 
-	decisions decisions
-	requests  *requesttable.Table
-	results   *resultcache.Cache
-	output    output
+	decisions  decisions
+	requests   *requesttable.Table
+	results    *resultcache.Cache
+	startedIDs *recentids.Set // of requests that were started and must not run twice
+	output     output
 
 	clients  clientTable
 	acceptor *acceptor
@@ -128,8 +130,9 @@
 			ResultBytes: int(startup.MemoryBytes / resultCacheMemoryDivisor),
 			EntryBytes:  int(startup.MemoryBytes / resultCacheEntryMemoryDivisor),
 		}),
-		output: newOutput(startup.MemoryBytes),
-		drain:  newDrainState(),
+		startedIDs: recentids.New(int(startup.MemoryBytes / startedIDsMemoryDivisor)),
+		output:     newOutput(startup.MemoryBytes),
+		drain:      newDrainState(),
 	}
 	server.lifetime.begin()
 	server.loop = newEventLoop(server)
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -117,6 +117,7 @@
 		"open", s.requests.Unanswered(),
 		"requests", s.requests.Len(),
 		"cached", s.results.Len(),
+		"started_ids", s.startedIDs.Len(),
 		"cached_kb", s.results.EntryBytes()/1024,
 		"conns", s.clients.conns.Len(),
 		"untrusted", s.clients.limiter.Count(connlimit.StateNew),
--- a/internal/server/sweep.go
+++ b/internal/server/sweep.go
@@ -10,12 +10,14 @@
 	unreadMemoryDivisor = 8
 )
 
-// sweep drops expired cached results, closes upstream connections that have been idle for too long,
+// sweep drops expired cached results and IDs of started requests, closes upstream connections that have
+// been idle for too long,
 // and bounds the output that clients leave unread.
 func (s *Server) sweep() {
 	now := s.now()
 	s.closeLargestBacklogs()
 	s.closeIdleUpstream(now)
+	s.startedIDs.Expire(now)
 	s.results.Expire(now - s.maxReadDelay())
 }
 
