Leave room for the program's own pages in the limit of the Go runtime

Cause: the runtime's soft limit was 70% of the memory limit. The other 30%, 9.6 MB, is less than the pages of the fleet's program, 15.1 MB.

Change: the soft limit is also at most what the resident pages of files and a sixteenth of the memory leave, but never under a quarter.

With 192 and 64 MB nothing changes: 70% is less there.

--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -6,7 +6,9 @@
 package lifecycle
 
 import (
+	"fmt"
 	"math"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -16,19 +18,47 @@
 // loop blocks one thread while it waits for input, which must not delay timers.
 const pollThreads = 1
 
-// The fraction of the memory limit that the Go runtime gets as its soft limit, near which the
-// garbage collector runs more often. The rest is for memory that the kernel charges to the process
-// but that the Go runtime does not manage.
+// The part of the memory limit that the Go runtime gets as its soft limit, near which the garbage
+// collector runs more often: this fraction at most, and no more than the pages of files and a reserve
+// leave. The rest is for memory that the kernel charges to the process but that the Go runtime does
+// not manage, such as the program itself.
 const (
 	runtimeMemoryNumerator   = 7
 	runtimeMemoryDenominator = 10
+	// reservedMemoryDivisor is the divisor of the memory limit that gives the reserve.
+	reservedMemoryDivisor = 16
+	// minRuntimeMemoryDivisor is the divisor that gives the least soft limit. With less the garbage
+	// collector would take most of the processor's time.
+	minRuntimeMemoryDivisor = 4
 )
 
 // ApplyLimits sets the Go runtime's limits for a process that may use a number of cores and of
 // bytes of memory.
 func ApplyLimits(cores float64, memoryBytes int64) {
 	runtime.GOMAXPROCS(int(math.Ceil(cores)) + pollThreads)
-	debug.SetMemoryLimit(memoryBytes * runtimeMemoryNumerator / runtimeMemoryDenominator)
+	debug.SetMemoryLimit(runtimeMemoryLimit(memoryBytes, residentFileBytes()))
+}
+
+// runtimeMemoryLimit returns the Go runtime's soft limit for a process with a memory limit, of which
+// pages of files take fileBytes.
+func runtimeMemoryLimit(memoryBytes, fileBytes int64) int64 {
+	limit := memoryBytes * runtimeMemoryNumerator / runtimeMemoryDenominator
+	limit = min(limit, memoryBytes-fileBytes-memoryBytes/reservedMemoryDivisor)
+	return max(limit, memoryBytes/minRuntimeMemoryDivisor)
+}
+
+// residentFileBytes returns the memory that pages of files, mostly of the program, take now, or 0 if it
+// can't be read.
+func residentFileBytes() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident, shared int64 // pages
+	if _, err := fmt.Sscan(string(text), &size, &resident, &shared); err != nil {
+		return 0
+	}
+	return shared * int64(os.Getpagesize())
 }
 
 // MaxOpenFiles returns the maximum number of open file descriptors of the process, or math.MaxInt32
