Bound the bytes that a forwarder queues for each worker

What callers saw: with two workers that had stopped, 240 clients with large requests took a forwarder of 32 MB to 60.7 MB, and 12 of 522 requests of another client had no answer (probe on real processes).

Cause: the queue to a worker was bounded in messages, 256, of up to 16 KiB each, and stays when the clients of its messages have left.

Change: the messages queued for all workers take a sixteenth of the memory limit at most, an equal part for each. A request that finds no room goes to another worker or is rejected, as with a full queue before.

TestConnection_QueueIsBoundedInBytes is new; the code before has no bound to test.

--- a/cmd/swiftcourse-fleet/forwarding.go
+++ b/cmd/swiftcourse-fleet/forwarding.go
@@ -10,6 +10,10 @@
 	"swiftcourse/internal/server"
 )
 
+// workerQueueMemoryDivisor is the divisor of the memory limit that bounds the messages queued for all
+// workers.
+const workerQueueMemoryDivisor = 16
+
 // workersKey is the key of the workers in the operator's file.
 const workersKey = "forward-to"
 
@@ -30,6 +34,7 @@
 	p.dispatcher = forwarder.Start(forwarder.Config{
 		Workers:           workers,
 		Classes:           startup.Settings.Classes,
+		MaxQueuedBytes:    startup.MemoryBytes / workerQueueMemoryDivisor / int64(len(workers)),
 		Seed:              forwarder.SeedFor(startup.Name, startup.Seed),
 		SlowStartSpeed:    startup.Settings.SlowStart.InitialSpeed,
 		SlowStartSeconds:  startup.WorkerSlowStartDuration,
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -14,6 +14,7 @@
 type Config struct {
 	Workers          []Worker
 	Classes          []admission.Class
+	MaxQueuedBytes   int64   // limit on the messages queued for each worker
 	Seed             int64   // for random choices; see SeedFor
 	SlowStartSpeed   float64 // fraction of its speed at which a worker starts; see routing.Router.SetSlowStart
 	SlowStartSeconds float64 // until a worker has reached its full speed; 0 for no slow start
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"swiftcourse/internal/wire/rpc"
@@ -40,20 +41,30 @@
 	socket   net.Conn
 	messages chan []byte   // encoded messages to be written
 	closed   chan struct{} // closed by serve when the connection has ended
+
+	maxQueuedBytes int64        // limit on queuedBytes
+	queuedBytes    atomic.Int64 // of messages that are queued or being written
 }
 
-func newConnection(socket net.Conn) *connection {
+func newConnection(socket net.Conn, maxQueuedBytes int64) *connection {
 	return &connection{
-		socket:   socket,
-		messages: make(chan []byte, maxQueuedMessages),
-		closed:   make(chan struct{}),
+		socket:         socket,
+		messages:       make(chan []byte, maxQueuedMessages),
+		closed:         make(chan struct{}),
+		maxQueuedBytes: maxQueuedBytes,
 	}
 }
 
-// enqueue queues a message to be written. It returns false, without blocking, if the queue is full.
+// enqueue queues a message to be written. It returns false, without blocking, if the queue is full. Only
+// the dispatcher's event loop calls it.
 func (c *connection) enqueue(message []byte) bool {
+	size := int64(len(message))
+	if c.queuedBytes.Load()+size > c.maxQueuedBytes {
+		return false
+	}
 	select {
 	case c.messages <- message:
+		c.queuedBytes.Add(size)
 		return true
 	default:
 		return false
@@ -73,7 +84,9 @@
 			for range len(c.messages) { // write all queued messages at once
 				batch = append(batch, <-c.messages...)
 			}
-			if _, err := c.socket.Write(batch); err != nil {
+			_, err := c.socket.Write(batch)
+			c.queuedBytes.Add(-int64(len(batch)))
+			if err != nil {
 				c.close()
 				return
 			}
@@ -94,7 +107,7 @@
 			backoff = min(2*backoff, maxRedialBackoff)
 			continue
 		}
-		if responded := l.serve(newConnection(socket)); responded {
+		if responded := l.serve(newConnection(socket, l.dispatcher.config.MaxQueuedBytes)); responded {
 			backoff = minRedialBackoff
 		}
 		if !l.sleep(backoff) {
--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -44,3 +46,29 @@
 		})
 	}
 }
+
+// Guards against a worker that does not read and makes the forwarder hold ever more: the bound must hold for
+// bytes, and those that were written must not count.
+func TestConnection_QueueIsBoundedInBytes(t *testing.T) {
+	socket, workerSocket := net.Pipe()
+	c := newConnection(socket, 1000)
+	queued := 0
+	for c.enqueue(make([]byte, 300)) {
+		queued++
+	}
+	if queued != 3 || !c.enqueue(make([]byte, 100)) || c.enqueue([]byte("x")) {
+		t.Fatalf("%d messages of 300 bytes queued, %d bytes in all; want 3, and 1000", queued, c.queuedBytes.Load())
+	}
+	go c.write()
+	if _, err := io.ReadFull(workerSocket, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	for !c.enqueue(make([]byte, 1000)) { // until the writer has accounted for what it wrote
+		runtime.Gosched()
+	}
+	if _, err := io.ReadFull(workerSocket, make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	close(c.closed)
+	_ = socket.Close()
+}
--- a/internal/forwarder/dispatcher_test.go
+++ b/internal/forwarder/dispatcher_test.go
@@ -92,6 +92,7 @@
 	results := make(chan forwarding.Result, 16)
 	started := time.Now()
 	config := Config{
+		MaxQueuedBytes: 1 << 20,
 		Classes: []admission.Class{
 			idempotentClass: {Idempotency: admission.Idempotent},
 			atMostOnceClass: {Idempotency: admission.AtMostOnce},
