The control API and the gossip port of a fleet bound what peers make them hold

What callers saw, 300 clients at a planner (probe on real processes, 6 s): heads of very many short fields took it from 20 to 180 MB; streams on the gossip port that announce 10 MB and bring 1 MB took it to 338 MB; while clients sent requests at full speed an operator's GET /state was answered 409 after 0.2 s.

Cause: neither listener bounded its connections. net/http keeps each field of a head as an entry of a map; memberlist allocates what the head of a stream announces, up to 20 MiB, before it has read that. The control API served eight requests at a time and turned any other away, whoever held the eight.

Change: the number of control connections follows from the memory limit (192 MB for a planner, which has none); for one more the oldest that is not being served is closed. Requests wait for their turn in order, one a connection, for 20 s at most. Heads have 1 KiB, and 2 s to arrive. Streams: 32 at a time, their announced bytes reserved before memberlist reads them, a sixteenth of the memory in all; types that members do not send are refused.

TestServeControl_Answers- BesideBadClients failed before (409 beside three of four kinds). TestCheckStream and TestConnLimiter_ClosesOldestThatIsNotInUse are new.

--- a/cmd/swiftcourse-fleet/program.go
+++ b/cmd/swiftcourse-fleet/program.go
@@ -96,6 +96,7 @@
 	}
 	agentConfig := commonConfig(p.startup.Name, operator, voters)
 	agentConfig.Seed = p.startup.Seed
+	agentConfig.MemoryBytes = p.startup.MemoryBytes
 	agentConfig.Clock = p.clock
 	agentConfig.Lease.Fallback = fallbackModes[operator.Fleet.FallbackMode]
 	agentConfig.Replication = replicas
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"log/slog"
 
 	"swiftcourse/internal/policy/lease"
@@ -18,6 +19,8 @@
 	Build      string            // identifies the build of the program
 	Clock      TimeSource
 	Logger     *slog.Logger // nil for slog.Default
+	// MemoryBytes is the memory limit of the process, 0 for defaultMemoryBytes.
+	MemoryBytes int64
 
 	Lease   LeaseConfig
 	Rollout release.RolloutPolicy
@@ -54,6 +57,13 @@
 	TracePoint func(TracePoint)
 }
 
+// defaultMemoryBytes is the memory limit of a process that has none, such as a planner: the largest
+// that the platform gives to a server.
+const defaultMemoryBytes = 192 << 20
+
+// memoryBytes returns the memory limit to use.
+func (c *Config) memoryBytes() int64 { return cmp.Or(c.MemoryBytes, defaultMemoryBytes) }
+
 // logger returns the logger to use.
 func (c *Config) logger() *slog.Logger {
 	if c.Logger != nil {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -14,11 +16,25 @@
 // address.
 const (
 	controlTimeout        = 20 * time.Second
-	maxControlHeaderBytes = 8 << 10
+	controlHeaderTimeout  = 2 * time.Second
+	maxControlHeaderBytes = 1 << 10 // net/http adds 4 KiB
 	maxCommandBytes       = 128 << 10
-	maxControlRequests    = 8 // concurrent requests
+	// controlMemoryDivisor is the divisor of the memory limit that bounds the control API's connections.
+	controlMemoryDivisor = 16
+	// controlConnBytes is the memory of a connection whose request has a header of very many short
+	// fields, or a body of maxCommandBytes.
+	controlConnBytes = 256 << 10
+	minControlConns  = 4
+	// controlConnsPerRequest is how many connections may be open for each request that is served at a
+	// time.
+	controlConnsPerRequest = 2
 )
 
+// maxControlConns returns how many connections of the control API may be open.
+func (c *Config) maxControlConns() int {
+	return max(minControlConns, int(c.memoryBytes()/controlMemoryDivisor/controlConnBytes))
+}
+
 // Paths of the control API.
 const (
 	statusPath   = "/state"
@@ -30,8 +46,10 @@
 
 // controlServer serves the control API: operators' requests, with JSON over HTTP.
 type controlServer struct {
-	node  *Node
-	slots chan struct{} // semaphore with one entry for each request being served
+	node *Node
+	// slots is a semaphore with one entry for each request being served. Those that wait for one get it
+	// in the order in which they came.
+	slots chan struct{}
 }
 
 // commandResponse is the response to POST /command.
@@ -52,15 +70,21 @@
 	if err != nil {
 		return err
 	}
-	control := &controlServer{node: n, slots: make(chan struct{}, maxControlRequests)}
+	maxConns := n.config.maxControlConns()
+	limiter := &connLimiter{maxConns: maxConns}
+	control := &controlServer{node: n, slots: make(chan struct{}, maxConns/controlConnsPerRequest)}
 	server := &http.Server{
-		Handler:        control.limit(control.routes()),
-		ReadTimeout:    controlTimeout,
-		WriteTimeout:   controlTimeout,
-		MaxHeaderBytes: maxControlHeaderBytes,
+		Handler:           control.limit(control.routes()),
+		ReadHeaderTimeout: controlHeaderTimeout,
+		ReadTimeout:       controlTimeout,
+		WriteTimeout:      controlTimeout,
+		MaxHeaderBytes:    maxControlHeaderBytes,
+		ConnContext:       withLimitedConn,
+		ErrorLog:          log.New(io.Discard, "", 0), // clients could fill the log
 	}
+	server.SetKeepAlivesEnabled(false) // a client that sends many requests waits its turn for each
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(&limitedListener{listener, limiter}) }()
 	return nil
 }
 
@@ -82,16 +106,24 @@
 	}
 }
 
-// limit rejects a request while maxControlRequests others are being served.
+// limit makes a request wait while too many others are being served. While it is served, its connection is
+// not closed for another one.
 func (c *controlServer) limit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case c.slots <- struct{}{}:
-			defer func() { <-c.slots }()
-			next.ServeHTTP(w, r)
-		default:
+		case <-r.Context().Done(): // the connection was closed
+			return
+		case <-time.After(controlTimeout):
 			respondJSON(w, nil, ErrTooManyRequests)
+			return
+		}
+		defer func() { <-c.slots }()
+		if conn, ok := r.Context().Value(limitedConnKey{}).(*limitedConn); ok {
+			conn.setInUse(true)
+			defer conn.setInUse(false)
 		}
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -17,7 +17,7 @@
 	ErrNoReleaseLog = errors.New("no voter of a joined cluster answered: nobody knows the release log")
 	// ErrCountersDisabled means that counters are disabled at the process.
 	ErrCountersDisabled = errors.New("nothing is counted: fleet-counts is off")
-	// ErrTooManyRequests means that the control API is already serving maxControlRequests requests.
+	// ErrTooManyRequests means that the control API was busy with other requests for controlTimeout.
 	ErrTooManyRequests = errors.New("too many control requests at once")
 )
 
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -86,7 +86,7 @@
 	settings.Logger = nil
 	settings.Delegate = messageDelegate{receive}
 	settings.Events = membershipLogger{config.logger()}
-	settings.Transport = &translatingTransport{NetTransport: transport, translate: config.Hooks.TranslateAddr}
+	settings.Transport = newTransport(ctx, transport, config)
 	list, err := memberlist.Create(settings)
 	if err != nil {
 		_ = transport.Shutdown()
