Smaller state of an idle connection, one reader of the process's memory

The state that the bounds on input need takes 20 bytes of each connection in place of 64. The statistics and the runtime's limit read /proc/self/statm in one place; the tests with processes build the program in one place.

--- a/internal/bench/badclients/fixture_test.go
+++ b/internal/bench/badclients/fixture_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,20 +37,14 @@
 var program string
 
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "swiftcourse-badclients-")
-	if err == nil {
-		program = filepath.Join(folder, "swiftcourse")
-		var output []byte
-		output, err = exec.Command("go", "build", "-o", folder+"/", "swiftcourse/cmd/swiftcourse",
-			"swiftcourse/cmd/swiftcourse-fleet").CombinedOutput()
-		os.Stderr.Write(output)
-	}
+	path, remove, err := process.BuildProgram()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+	program = path
 	code := m.Run()
-	_ = os.RemoveAll(folder)
+	remove()
 	os.Exit(code)
 }
 
--- a/internal/bench/faultinjection/fleet_test.go
+++ b/internal/bench/faultinjection/fleet_test.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"swiftcourse/internal/bench/process"
 	"swiftcourse/internal/fake/balancer"
 	"swiftcourse/internal/policy/release"
 	"swiftcourse/internal/wire/rpc"
@@ -20,20 +19,14 @@
 var program string
 
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "swiftcourse-faults-")
-	if err == nil {
-		program = filepath.Join(folder, "swiftcourse")
-		var output []byte
-		output, err = exec.Command("go", "build", "-o", folder+"/", "swiftcourse/cmd/swiftcourse",
-			"swiftcourse/cmd/swiftcourse-fleet").CombinedOutput()
-		os.Stderr.Write(output)
-	}
+	path, remove, err := process.BuildProgram()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+	program = path
 	code := m.Run()
-	_ = os.RemoveAll(folder)
+	remove()
 	os.Exit(code)
 }
 
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -36,7 +36,8 @@
 // bytes of memory.
 func ApplyLimits(cores float64, memoryBytes int64) {
 	runtime.GOMAXPROCS(int(math.Ceil(cores)) + pollThreads)
-	debug.SetMemoryLimit(runtimeMemoryLimit(memoryBytes, residentFileBytes()))
+	_, files := ResidentMemory()
+	debug.SetMemoryLimit(runtimeMemoryLimit(memoryBytes, files))
 }
 
 // runtimeMemoryLimit returns the Go runtime's soft limit for a process with a memory limit, of which
@@ -47,18 +48,19 @@
 	return max(limit, memoryBytes/minRuntimeMemoryDivisor)
 }
 
-// residentFileBytes returns the memory that pages of files, mostly of the program, take now, or 0 if it
-// can't be read.
-func residentFileBytes() int64 {
+// ResidentMemory returns the resident memory of the process in bytes, and the part of it that is pages of
+// files, mostly of the program. Both are 0 if they can't be read.
+func ResidentMemory() (resident, files int64) {
 	text, err := os.ReadFile("/proc/self/statm")
 	if err != nil {
-		return 0
+		return 0, 0
 	}
-	var size, resident, shared int64 // pages
-	if _, err := fmt.Sscan(string(text), &size, &resident, &shared); err != nil {
-		return 0
+	var sizePages, residentPages, filePages int64
+	if _, err := fmt.Sscan(string(text), &sizePages, &residentPages, &filePages); err != nil {
+		return 0, 0
 	}
-	return shared * int64(os.Getpagesize())
+	pageBytes := int64(os.Getpagesize())
+	return residentPages * pageBytes, filePages * pageBytes
 }
 
 // MaxOpenFiles returns the maximum number of open file descriptors of the process, or math.MaxInt32
--- a/internal/lifecycle/limits_test.go
+++ b/internal/lifecycle/limits_test.go
@@ -16,7 +16,8 @@
 			t.Errorf("%d MiB, %d MiB of files: %d bytes, want %d", c.memory/mib, c.files/mib, got, c.want)
 		}
 	}
-	if residentFileBytes() <= 0 {
-		t.Error("no resident pages of files read, want those of the test program")
+	if resident, files := ResidentMemory(); files <= 0 || files >= resident {
+		t.Errorf("%d bytes resident, %d of them pages of files; want some of the test program, and others",
+			resident, files)
 	}
 }
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -39,11 +39,9 @@
 	retryAfter float64                 // in seconds, if the connection was not admitted
 	state      connState
 
-	heldBytes    int // reserved in clientTable.memory
-	partialBytes int // the part of heldBytes for input that is a part of a message
-
-	input         clientInput
-	invalidInARow int // invalid requests since the last message of another kind
+	heldBytes    int32 // reserved in clientTable.memory
+	partialBytes int32 // the part of heldBytes for input that is a part of a message
+	input        clientInput
 }
 
 // addClient creates the handler of a client's new connection.
@@ -120,7 +118,7 @@
 		})
 	}
 	c.release(&s.output.buffers)
-	c.releaseMemory(c.partialBytes)
+	c.releaseMemory(int(c.partialBytes))
 	s.clients.limiter.HandleClosed(c.slot())
 	delete(s.clients.heldArrivals, c.id)
 	s.clients.conns.Remove(c.id) // from here on c may be reused for another connection
@@ -135,7 +133,7 @@
 func (c *clientConn) handleMessage(message *rpc.Message, now float64) error {
 	s := c.server
 	if message.Kind != rpc.KindRequest {
-		c.invalidInARow = 0
+		c.input.invalidInARow = 0
 	}
 	switch message.Kind {
 	case rpc.KindRequest:
--- a/internal/server/client_input.go
+++ b/internal/server/client_input.go
@@ -32,16 +32,17 @@
 
 // clientInput is what is known about the input of a connection.
 type clientInput struct {
-	bufferedBytes int  // bytes that are buffered and were not handled
-	awaitedBytes  int  // length that the incomplete message at the start of the input has at least
-	moreUnread    bool // the last read brought as much as a read can, so more may be waiting
-	lastReadAt    float64
+	bufferedBytes int32 // bytes that are buffered and were not handled
+	awaitedBytes  int32 // length that the incomplete message at the start of the input has at least
+	moreUnread    bool  // the last read brought as much as a read can, so more may be waiting
+	invalidInARow uint8 // invalid requests since the last message of another kind
 }
 
 // heldArrivals are the requests of a connection whose arrivals are held back.
 type heldArrivals struct {
-	since float64 // when the first of them was read
-	list  []heldArrival
+	since      float64 // when the first of them was read
+	lastReadAt float64 // when the connection's input was last read
+	list       []heldArrival
 }
 
 // heldArrival is a request whose arrival is held back. The body of its message is the request's.
@@ -53,10 +54,12 @@
 // handleInput implements connHandler. A message that arrives in small parts is not parsed anew with each
 // of them.
 func (c *clientConn) handleInput(buffered int) bool {
-	c.input.moreUnread = buffered-c.input.bufferedBytes >= readBufferBytes
-	c.input.bufferedBytes = buffered
-	c.input.lastReadAt = c.server.now()
-	return buffered >= c.input.awaitedBytes
+	c.input.moreUnread = buffered-int(c.input.bufferedBytes) >= readBufferBytes
+	c.input.bufferedBytes = int32(buffered)
+	if arrivals := c.server.clients.heldArrivals[c.id]; arrivals != nil {
+		arrivals.lastReadAt = c.server.now()
+	}
+	return buffered >= int(c.input.awaitedBytes)
 }
 
 func (c *clientConn) handleData(data []byte) (n int, err error) {
@@ -65,7 +68,7 @@
 	} else {
 		n, err = c.handleMessages(data)
 	}
-	c.input.bufferedBytes = len(data) - n
+	c.input.bufferedBytes = int32(len(data) - n)
 	return n, err
 }
 
@@ -80,8 +83,9 @@
 			return n, err
 		case size == 0:
 			c.observe(connlimit.EventPartialMessage, now)
-			c.input.awaitedBytes = len(data) - n + message.MissingBytes
-			return n, c.holdPartialMessage(c.input.awaitedBytes)
+			awaited := len(data) - n + message.MissingBytes
+			c.input.awaitedBytes = int32(awaited)
+			return n, c.holdPartialMessage(awaited)
 		case count == maxMessagesPerRead:
 			return n, errTooManyMessages
 		}
@@ -107,7 +111,8 @@
 		arrivals.list = append(arrivals.list, held)
 		return
 	}
-	s.clients.heldArrivals[c.id] = &heldArrivals{since: s.now(), list: []heldArrival{held}}
+	now := s.now()
+	s.clients.heldArrivals[c.id] = &heldArrivals{since: now, lastReadAt: now, list: []heldArrival{held}}
 	s.checkArrivals(c.id)
 }
 
@@ -115,11 +120,10 @@
 // quietSeconds, or if they were held back for long enough; else it schedules itself again.
 func (s *Server) checkArrivals(connection slottable.Handle) {
 	arrivals := s.clients.heldArrivals[connection]
-	client := s.clients.conns.Get(connection)
-	if arrivals == nil || client == nil {
+	if arrivals == nil { // the connection has ended
 		return
 	}
-	releaseAt := min(client.input.lastReadAt+quietSeconds, arrivals.since+maxArrivalHoldSeconds)
+	releaseAt := min(arrivals.lastReadAt+quietSeconds, arrivals.since+maxArrivalHoldSeconds)
 	if s.now() >= releaseAt {
 		s.releaseArrivals(connection)
 		return
--- a/internal/server/memory.go
+++ b/internal/server/memory.go
@@ -28,32 +28,33 @@
 // would exceed what clients may hold.
 func (c *clientConn) reserveMemory(n int) bool {
 	clients := &c.server.clients
-	if !clients.memory.Reserve(n, c.heldBytes, clients.conns.Len()) {
+	if !clients.memory.Reserve(n, int(c.heldBytes), clients.conns.Len()) {
 		c.server.statistics.memoryRefusals++
 		return false
 	}
-	c.heldBytes += n
+	c.heldBytes += int32(n)
 	return true
 }
 
 // releaseMemory returns memory that was reserved for a connection.
 func (c *clientConn) releaseMemory(n int) {
 	c.server.clients.memory.Release(n)
-	c.heldBytes -= n
+	c.heldBytes -= int32(n)
 }
 
 // holdPartialMessage accounts for n bytes of input that are a part of a message, in place of those
 // accounted for before. It returns an error if clients may not hold that much.
 func (c *clientConn) holdPartialMessage(n int) error {
 	held := partialMessageMemory(n)
+	before := int(c.partialBytes)
 	switch {
-	case held < c.partialBytes:
-		c.releaseMemory(c.partialBytes - held)
-	case held > c.partialBytes && !c.reserveMemory(held-c.partialBytes):
+	case held < before:
+		c.releaseMemory(before - held)
+	case held > before && !c.reserveMemory(held-before):
 		return fmt.Errorf("%w: %d bytes of a message, %d bytes held by all clients", errNoClientMemory, n,
 			c.server.clients.memory.Used())
 	}
-	c.partialBytes = held
+	c.partialBytes = int32(held)
 	return nil
 }
 
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -31,7 +31,7 @@
 		c.rejectInvalid(message.Number, err, now)
 		return c.countInvalid()
 	}
-	c.invalidInARow = 0
+	c.input.invalidInARow = 0
 	if c.rejectEarly(message.Number, kind, now) {
 		return nil
 	}
@@ -113,8 +113,8 @@
 // countInvalid counts an invalid request. It returns an error if the connection has sent too many in a
 // row.
 func (c *clientConn) countInvalid() error {
-	c.invalidInARow++
-	if c.invalidInARow > maxInvalidInARow {
+	c.input.invalidInARow++
+	if c.input.invalidInARow > maxInvalidInARow {
 		return errTooManyInvalid
 	}
 	return nil
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
-	"os"
 	"runtime"
 	"runtime/metrics"
 
+	"swiftcourse/internal/lifecycle"
 	"swiftcourse/internal/logging"
 	"swiftcourse/internal/policy/connlimit"
 )
@@ -99,6 +98,7 @@
 func (s *Server) logStatistics() {
 	stats := &s.statistics
 	limit := s.maxClients()
+	resident, _ := lifecycle.ResidentMemory()
 	slog.Info("statistics",
 		"received", stats.received,
 		"finished", stats.finished,
@@ -135,7 +135,7 @@
 		"client_kb", s.clients.memory.Used()/1024,
 		"client_kb_max", s.clients.memory.Limit()/1024,
 		"memory_refusals", stats.memoryRefusals,
-		"memory_kb", residentKB(),
+		"memory_kb", resident/1024,
 		"heap_kb", liveHeapKB(),
 		"healthy", s.isHealthy(),
 		"load", s.health.loadReport.LoadReport)
@@ -165,19 +165,6 @@
 	return logging.FormatDecimal(1000*seconds, digits)
 }
 
-// residentKB returns the resident memory of the process in KiB, or 0 if it can't be read.
-func residentKB() (kb int) {
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	var all, resident int
-	if _, err := fmt.Sscan(string(text), &all, &resident); err != nil {
-		return 0
-	}
-	return resident * os.Getpagesize() / 1024
-}
-
 // liveHeapKB returns the memory in KiB that was live at the last garbage collection.
 func liveHeapKB() uint64 {
 	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
