A test of the check at a run's start, and which part of that mend acts

TestClientGone_UnreadRequestsAreNotStarted passes without the poll at a run's start, as holding arrivals back suffices for it, so the poll had no test. TestClientGone_SeenAtStart fails without it.

--- a/internal/server/gone_test.go
+++ b/internal/server/gone_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"swiftcourse/admission"
 	"swiftcourse/internal/config"
 )
@@ -46,6 +48,23 @@
 	}
 }
 
+// The same where a run is to start after its client has closed, and before the close was read.
+func TestClientGone_SeenAtStart(t *testing.T) {
+	s := newServerWithMemory(64 << 20)
+	_, socket, peer := addClientWithPeer(t, s)
+	socket.bytes = requestFrame(1, "a1", "x")
+	s.OnTraffic(socket)
+	_ = unix.Shutdown(peer, unix.SHUT_RDWR)
+	request := s.requests.Get("a1")
+	s.startRunIfAwaited(request)
+	last := s.decisions.pending[len(s.decisions.pending)-1]
+	neverStarted := last.Kind == admission.RunEnded && last.Outcome == admission.NeverStarted
+	if request.Running || s.requests.Len() != 0 || !neverStarted {
+		t.Errorf("running %t, %d requests, last event %+v; want false, 0, a run that never started",
+			request.Running, s.requests.Len(), last)
+	}
+}
+
 // The same where the link to the executor is down as the request is to start: the start was never sent, so
 // it must not be sent once the link is up.
 func TestClientGone_UnsentStartIsNotSent(t *testing.T) {
